--- /dev/null
+++ b/crates/dispatch/src/action.rs
@@ -0,0 +1,120 @@
+//! What a host wants done.
+
+use std::net::SocketAddr;
+
+use gannetridge_wire::Name;
+
+use crate::event::{CallId, Token};
+use crate::message::{Envelope, Reply, RunKey};
+use crate::note::Note;
+use crate::spec::JobError;
+use crate::Millis;
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks have ended well.
+    Completed,
+    /// A task has failed too often, or the job could not end in time.
+    Failed,
+    /// The job has not run and never will; the caller may come back.
+    Refused {
+        /// When to come back, in ms.
+        retry_after_ms: Millis,
+    },
+    /// There is no configuration yet.
+    NotReady,
+    /// There is no such queue.
+    NoQueue,
+    /// There is no such job.
+    NoJob,
+    /// The job can't be taken.
+    Bad(JobError),
+    /// The job runs.
+    Running,
+    /// The job waits.
+    Queued,
+    /// The job is cancelled.
+    Cancelled,
+    /// So many jobs of the queue have not begun.
+    Pending(usize),
+}
+
+/// A task to be started on a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunOrder {
+    /// The task and its run.
+    pub key: RunKey,
+    /// What the task is told.
+    pub specification: Name,
+    /// The latest time to begin, and the end of the target's hold, on the
+    /// target's clock.
+    pub until: Millis,
+}
+
+/// A call to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetCall {
+    /// Start a task.
+    Start(RunOrder),
+    /// End a run.
+    Stop(RunKey),
+    /// Extend the hold, and list what runs and what has ended.
+    Hold {
+        /// The end of the hold on the target's clock, if it is extended.
+        until: Option<Millis>,
+        /// Ends up to this number have been taken note of.
+        noted: u64,
+        /// How long the target may wait for an end before it answers.
+        wait_ms: Millis,
+    },
+}
+
+/// What a host wants done.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Answer a caller.
+    Answer {
+        /// The request.
+        token: Token,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Reply to a peer.
+    Reply {
+        /// The request.
+        token: Token,
+        /// The reply.
+        reply: Box<Reply>,
+    },
+    /// Send a request to a peer.
+    Call {
+        /// The call.
+        call: CallId,
+        /// The peer's address.
+        address: SocketAddr,
+        /// The request.
+        envelope: Box<Envelope>,
+        /// How long to wait for the reply.
+        wait_ms: Millis,
+    },
+    /// Call a target.
+    Target {
+        /// The call.
+        call: CallId,
+        /// The life of the target that is meant.
+        id: Name,
+        /// The target's address.
+        address: Name,
+        /// The keeper's token.
+        fence: u64,
+        /// What is asked.
+        order: TargetCall,
+        /// How long to wait for the reply.
+        wait_ms: Millis,
+    },
+    /// Count or log.
+    Note(Note),
+    /// The host has nothing left to do and may end.
+    Stopped,
+}
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,212 @@
+//! What hosts say to each other.
+
+use std::net::SocketAddr;
+
+use gannetridge_wire::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::queues::Queues;
+use crate::spec::Room;
+use crate::Millis;
+
+/// One life of a host's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostInfo {
+    /// The host's name.
+    pub name: Name,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: Name,
+    /// Grows from life to life.
+    pub incarnation: u64,
+}
+
+/// A receiver's own clock, brought back to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The receiver's life whose clock it is.
+    pub incarnation: u64,
+    /// Its clock as last heard.
+    pub clock: Millis,
+}
+
+/// A request, and who sends it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: HostInfo,
+    /// Runs of lower sessions of this sender are to end.
+    pub session: u64,
+    /// The receiver's clock as the sender last heard it.
+    pub echo: Option<Echo>,
+    /// What is asked.
+    pub request: Request,
+}
+
+/// One start of one task.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunKey {
+    /// The task's name.
+    pub task: Name,
+    /// Counts the task's starts.
+    pub run: u32,
+}
+
+/// A task to be started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskOrder {
+    /// The task and its run.
+    pub key: RunKey,
+    /// What the task is told.
+    pub specification: Name,
+    /// The pool whose targets may run it.
+    pub pool: Name,
+    /// What it takes.
+    pub room: Room,
+    /// A rough guess of its time.
+    pub estimate_ms: Millis,
+    /// A label that the target must have.
+    pub requirement: Option<Name>,
+    /// The rack where the data lies.
+    pub rack: Option<Name>,
+    /// The step's name, and the most of its tasks on one target.
+    pub spread: Option<(Name, u32)>,
+    /// Targets on which it failed.
+    pub avoid: Vec<Name>,
+}
+
+/// How urgent the most urgent of some waiting tasks is; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Urge {
+    /// 0 while the job's aim can be met, 1 while an answer is still worth
+    /// something, 2 after that.
+    pub rank: u8,
+    /// Until the latest start that keeps the rank, in ms from now.
+    pub slack_ms: i64,
+}
+
+/// Tasks that found no room at their owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Want {
+    /// The most urgent one's urge.
+    pub urge: Urge,
+    /// The pool.
+    pub pool: Name,
+    /// The least that any of them takes.
+    pub least: Room,
+    /// How many there are.
+    pub count: u32,
+}
+
+/// Free room of one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FreeRoom {
+    /// The target's pool.
+    pub pool: Name,
+    /// What is free.
+    pub room: Room,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// The task is done.
+    Done,
+    /// The task failed, by its own fault or the target's.
+    Failed,
+    /// The run was ended from outside, or can't have begun.
+    Lost,
+    /// The target has seen a run of this or a higher number.
+    Outnumbered,
+}
+
+/// The end of a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunEnd {
+    /// The run.
+    pub key: RunKey,
+    /// How it ended.
+    pub end: End,
+    /// Where.
+    pub target: Name,
+}
+
+/// What a host asks of a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// Says that the sender lives.
+    Beat(Beat),
+    /// Asks to start what fits.
+    Place(Vec<TaskOrder>),
+    /// Asks for offers, or takes the question back.
+    Want(Option<Want>),
+    /// Offers room that is kept free for a moment.
+    Offer(FreeRoom),
+    /// Asks to end runs. With `report` the end of each is told, at once of
+    /// those that aren't there and now never will be.
+    Stop {
+        /// The runs.
+        keys: Vec<RunKey>,
+        /// Whether their ends matter to the sender.
+        report: bool,
+    },
+    /// Tells how the receiver's runs ended.
+    Ended(Vec<RunEnd>),
+    /// Asks for the configuration.
+    Queues,
+}
+
+/// A host's heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Beat {
+    /// Whether the host stops in order.
+    pub leaving: bool,
+    /// The version of its configuration.
+    pub version: u64,
+    /// A hash of the hosts that it knows.
+    pub hosts_hash: u64,
+}
+
+/// What a host replies to a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Reply {
+    /// The sender's life.
+    pub incarnation: u64,
+    /// Its clock when it replied.
+    pub clock: Millis,
+    /// Its free room, a row for each target with some.
+    pub free: Vec<FreeRoom>,
+    /// The rest.
+    pub body: ReplyBody,
+}
+
+/// The part of a reply that depends on the request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ReplyBody {
+    /// To a heartbeat.
+    Beat(BeatReply),
+    /// The places in the request of the tasks that were taken.
+    Placed(Vec<u32>),
+    /// Whether a request for the offered room follows.
+    Interested(bool),
+    /// The configuration, if there is one.
+    Queues(Option<Queues>),
+    /// Taken note of.
+    Noted,
+    /// Nothing was done: the sender's echo is too old.
+    Stale,
+}
+
+/// The reply to a heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// Whether the host stops in order.
+    pub leaving: bool,
+    /// The version of its configuration.
+    pub version: u64,
+    /// The targets that it looks after.
+    pub kept: Vec<Name>,
+    /// The hosts that it knows, itself among them, if the sender knows others.
+    pub hosts: Vec<HostInfo>,
+}
--- /dev/null
+++ b/crates/dispatch/src/spec.rs
@@ -0,0 +1,140 @@
+//! Jobs as callers describe them.
+
+use gannetridge_wire::Name;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Millis;
+
+/// The most tasks that one job may have.
+pub const MAX_TASKS: usize = 2_000;
+/// The longest specification, in bytes.
+pub const MAX_SPECIFICATION: usize = 4_000;
+
+/// What one task takes of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub gpus: u32,
+}
+
+impl Room {
+    /// Tells whether `need` fits into this room.
+    #[must_use]
+    pub fn fits(&self, need: &Self) -> bool {
+        need.cpu <= self.cpu && need.memory_mb <= self.memory_mb && need.gpus <= self.gpus
+    }
+
+    /// Takes `need` away.
+    #[must_use]
+    pub fn less(&self, need: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(need.cpu),
+            memory_mb: self.memory_mb.saturating_sub(need.memory_mb),
+            gpus: self.gpus.saturating_sub(need.gpus),
+        }
+    }
+}
+
+/// Tasks of one kind within a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepSpec {
+    /// How many tasks.
+    pub count: u32,
+    /// What each takes.
+    pub room: Room,
+    /// A rough guess of a task's time.
+    pub estimate_ms: Millis,
+    /// Steps that must be done first, by number.
+    pub after: Vec<usize>,
+    /// A label that the target must have.
+    pub requirement: Option<Name>,
+    /// The rack where the data lies.
+    pub rack: Option<Name>,
+    /// The most tasks of this step that one target holds at a time.
+    pub spread: Option<u32>,
+    /// What is asked that this program doesn't carry, if anything.
+    pub unsupported: Option<&'static str>,
+}
+
+/// A job as its caller describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobSpec {
+    /// What the tasks are told.
+    pub specification: Name,
+    /// Whether an accepted job must outlast the hosts.
+    pub kept: bool,
+    /// The steps.
+    pub steps: Vec<StepSpec>,
+}
+
+/// Why a job can't be taken.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum JobError {
+    /// The id isn't 16 hex digits.
+    #[error("the id must be 16 hex digits")]
+    Id,
+    /// The specification is too long.
+    #[error("the specification is over {MAX_SPECIFICATION} bytes")]
+    Specification,
+    /// There is no task.
+    #[error("a job needs a step, and a step a task")]
+    Empty,
+    /// There are too many tasks.
+    #[error("a job has {MAX_TASKS} tasks at most")]
+    TooManyTasks,
+    /// A step waits for itself, for a later one or for none.
+    #[error("step {0} may only come after earlier steps")]
+    After(usize),
+    /// The job asks what this program doesn't carry.
+    #[error("{0} isn't carried")]
+    Unsupported(&'static str),
+}
+
+impl JobSpec {
+    /// Checks what doesn't depend on targets.
+    ///
+    /// # Errors
+    ///
+    /// Fails on the first fault.
+    pub fn check(&self) -> Result<(), JobError> {
+        if self.specification.len() > MAX_SPECIFICATION {
+            return Err(JobError::Specification);
+        }
+        if self.steps.is_empty() || self.steps.iter().any(|step| step.count == 0) {
+            return Err(JobError::Empty);
+        }
+        let tasks: usize = self.steps.iter().map(|step| step.count as usize).sum();
+        if tasks > MAX_TASKS {
+            return Err(JobError::TooManyTasks);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.after.iter().any(|earlier| *earlier >= number) {
+                return Err(JobError::After(number));
+            }
+            if let Some(what) = step.unsupported {
+                return Err(JobError::Unsupported(what));
+            }
+        }
+        if self.kept {
+            return Err(JobError::Unsupported("a job that must be kept"));
+        }
+        Ok(())
+    }
+}
+
+/// Checks a job's id.
+///
+/// # Errors
+///
+/// Fails unless it is 16 hex digits.
+pub fn check_id(id: &str) -> Result<(), JobError> {
+    if id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Ok(());
+    }
+    Err(JobError::Id)
+}
--- /dev/null
+++ b/crates/dispatch/src/target.rs
@@ -0,0 +1,491 @@
+//! One target as its keeper sees it: its runs, its clock, its health.
+
+use std::collections::BTreeMap;
+
+use gannetridge_wire::Name;
+
+use crate::event::{CallId, ListedEnd, ListedHow, TargetEntry};
+use crate::message::{End, RunEnd, RunKey, TaskOrder};
+use crate::settings::Times;
+use crate::spec::Room;
+use crate::Millis;
+
+/// A target's clock may run this much slower than ours.
+const SLOWEST_CLOCK: f64 = 0.98;
+/// Failures in a row after which a target is left alone for a while.
+const FAILURES_TO_SUSPEND: u32 = 2;
+/// How long a target is left alone at first; doubles each time.
+const FIRST_SUSPENSION_MS: Millis = 1_000;
+/// The longest that a target is left alone.
+const LONGEST_SUSPENSION_MS: Millis = 8_000;
+/// The weight of the last run in the target's pace.
+const PACE_WEIGHT: f64 = 0.25;
+/// A run is taken to stand still after this many times its estimate ...
+const OVERRUN_FACTOR: f64 = 4.0;
+/// ... and this long on top.
+const OVERRUN_MS: Millis = 150;
+
+/// How far a host has got with a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Another host looks after it.
+    Elsewhere,
+    /// This host's token may not be known there yet.
+    Taking,
+    /// This host's token is known there, but runs go on that it doesn't know.
+    Settling,
+    /// This host looks after it.
+    Kept,
+}
+
+/// How far the end of a run that is not wanted has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopStage {
+    /// The run is wanted.
+    Wanted,
+    /// A stop is to be sent.
+    ToSend,
+    /// A stop is on its way.
+    Sent(CallId),
+    /// The target has taken the stop.
+    Taken(Millis),
+}
+
+/// A run that the keeper has ordered.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The host that owns the job.
+    pub owner: Name,
+    /// The owner's session under which it was asked for.
+    pub session: u64,
+    /// What it takes.
+    pub room: Room,
+    /// When the start was sent.
+    pub started: Millis,
+    estimate_ms: Millis,
+    spread: Option<Name>,
+    /// When the target is known to have taken the start.
+    taken: Option<Millis>,
+    /// The latest begin, on our clock as it may look at the most.
+    begins_before: Millis,
+    stop: StopStage,
+    /// Whether the owner still wants to know how it ends.
+    report: bool,
+}
+
+/// When the target's clock was read, on our clock, and what it showed.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    received: Millis,
+    clock: Millis,
+}
+
+/// One target as its keeper sees it.
+#[derive(Debug)]
+pub struct Target {
+    /// What the platform's list says of it.
+    pub entry: TargetEntry,
+    /// How far this host has got with it.
+    pub stage: Stage,
+    /// This host's token.
+    pub fence: u64,
+    /// Since when it has been kept.
+    pub kept_since: Millis,
+    /// Not to be taken before.
+    pub barred_until: Millis,
+    /// When it went from the list, if it did.
+    pub unlisted_since: Option<Millis>,
+    /// The runs.
+    pub runs: BTreeMap<RunKey, Run>,
+    /// Ends up to this number have been taken note of.
+    pub noted: u64,
+    /// The call that holds, and when it was sent.
+    pub holding: Option<(CallId, Millis)>,
+    /// The next call that holds isn't sent before.
+    pub next_hold: Millis,
+    /// Since when it hasn't answered, if it doesn't.
+    pub silent_since: Option<Millis>,
+    /// Its free room is kept for this host until then.
+    pub offered: Option<(Name, Millis)>,
+    /// By then, on our clock, everything that runs there is over.
+    over_by: Millis,
+    clock: Option<ClockReading>,
+    failures: u32,
+    suspensions: u32,
+    suspended_until: Millis,
+    pace: f64,
+}
+
+/// The end of a run, and whom to tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The owner of the job.
+    pub owner: Name,
+    /// The owner's session.
+    pub session: u64,
+    /// The end.
+    pub end: RunEnd,
+    /// What showed it.
+    pub by: &'static str,
+    /// Since its start was sent.
+    pub took_ms: Millis,
+    /// Whether the owner still wants to know.
+    pub wanted: bool,
+}
+
+impl Target {
+    /// Creates a target that another host looks after.
+    #[must_use]
+    pub fn new(entry: TargetEntry) -> Self {
+        Self {
+            entry,
+            stage: Stage::Elsewhere,
+            fence: 0,
+            kept_since: 0,
+            barred_until: 0,
+            unlisted_since: None,
+            runs: BTreeMap::new(),
+            noted: 0,
+            holding: None,
+            next_hold: 0,
+            silent_since: None,
+            offered: None,
+            over_by: 0,
+            clock: None,
+            failures: 0,
+            suspensions: 0,
+            suspended_until: 0,
+            pace: 1.0,
+        }
+    }
+
+    /// Begins to look after it.
+    pub fn take(&mut self, now: Millis, fence: u64) {
+        self.stage = Stage::Taking;
+        self.fence = fence;
+        self.next_hold = now;
+    }
+
+    /// Gives it up; what ran there is reported as lost once it is over.
+    pub fn leave_to_others(&mut self) {
+        self.stage = Stage::Elsewhere;
+        self.holding = None;
+        self.offered = None;
+        self.clock = None;
+        self.silent_since = None;
+    }
+
+    /// Returns the free room.
+    #[must_use]
+    pub fn free(&self) -> Room {
+        let mut free = self.entry.capacity;
+        for run in self.runs.values() {
+            free = free.less(&run.room);
+        }
+        free
+    }
+
+    /// Tells whether new tasks may be started.
+    #[must_use]
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.stage == Stage::Kept
+            && !self.entry.leaving
+            && self.unlisted_since.is_none()
+            && self.silent_since.is_none()
+            && self.suspended_until <= now
+            && self.clock.is_some()
+            // After a suspension one task shows whether it is well again.
+            && (self.failures < FAILURES_TO_SUSPEND || self.runs.is_empty())
+    }
+
+    /// Tells whether the free room is kept for another host than `owner`.
+    #[must_use]
+    pub fn is_offered_to_others(&self, now: Millis, owner: &Name) -> bool {
+        let offered = self.offered.as_ref();
+        offered.is_some_and(|(host, until)| host != owner && *until > now)
+    }
+
+    /// Tells whether an order may run here, now or once there is room.
+    #[must_use]
+    pub fn suits(&self, order: &TaskOrder) -> bool {
+        self.entry.pool == order.pool
+            && order
+                .requirement
+                .as_ref()
+                .is_none_or(|label| self.entry.labels.contains(label))
+            && !order.avoid.contains(&self.entry.id)
+    }
+
+    /// Tells whether an order fits now.
+    #[must_use]
+    pub fn fits(&self, order: &TaskOrder) -> bool {
+        let spread = order.spread.as_ref().is_none_or(|(step, most)| {
+            let there = self.runs.values();
+            let there = there.filter(|run| run.spread.as_ref() == Some(step));
+            there.count() < *most as usize
+        });
+        spread && self.free().fits(&order.room)
+    }
+
+    /// Returns how badly an order is placed here: slow targets last, and
+    /// among like ones the fullest first, so that large tasks find room.
+    #[must_use]
+    pub fn cost(&self, order: &TaskOrder) -> f64 {
+        let left = self.free().less(&order.room).cpu;
+        let size = self.entry.capacity.cpu.max(1);
+        let far = order
+            .rack
+            .as_ref()
+            .is_some_and(|rack| !self.entry.labels.contains(rack));
+        let pace = if far { self.pace * 1.5 } else { self.pace };
+        pace.max(0.5) + 0.5 * f64::from(left) / f64::from(size) + 0.3 * f64::from(self.failures)
+    }
+
+    /// Takes an order in; returns the latest begin on the target's clock.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the target's clock isn't known; see [`Target::is_open`].
+    pub fn admit(
+        &mut self,
+        now: Millis,
+        times: &Times,
+        owner: &Name,
+        session: u64,
+        order: &TaskOrder,
+    ) -> Millis {
+        let until = self
+            .extend(now, times)
+            .expect("open targets' clocks are known");
+        self.runs.insert(
+            order.key.clone(),
+            Run {
+                owner: owner.clone(),
+                session,
+                room: order.room,
+                started: now,
+                estimate_ms: order.estimate_ms,
+                spread: order.spread.as_ref().map(|(step, _)| step.clone()),
+                taken: None,
+                begins_before: now + times.hold_true,
+                stop: StopStage::Wanted,
+                report: true,
+            },
+        );
+        until
+    }
+
+    /// Returns the end of a hold that begins now, on the target's clock.
+    pub fn extend(&mut self, now: Millis, times: &Times) -> Option<Millis> {
+        let reading = self.clock?;
+        let since = now.saturating_sub(reading.received);
+        let earliest = reading.clock + (since as f64 * SLOWEST_CLOCK) as Millis;
+        self.over_by = self.over_by.max(now + times.over - times.vouch);
+        Some(earliest + times.hold)
+    }
+
+    /// Takes note of what the target's clock showed.
+    pub fn read_clock(&mut self, now: Millis, clock: Millis) {
+        self.clock = Some(ClockReading {
+            received: now,
+            clock,
+        });
+        self.silent_since = None;
+    }
+
+    /// Takes note that a call had no reply.
+    pub fn missed(&mut self, now: Millis) -> bool {
+        let first = self.silent_since.is_none();
+        self.silent_since.get_or_insert(now);
+        first
+    }
+
+    /// Takes note that the target took a start.
+    pub fn start_taken(&mut self, now: Millis, key: &RunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.taken.get_or_insert(now);
+        }
+    }
+
+    /// Has a run ended whose start has no reply.
+    pub fn doubt(&mut self, key: &RunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            if run.taken.is_none() && run.stop == StopStage::Wanted {
+                run.stop = StopStage::ToSend;
+            }
+        }
+    }
+
+    /// Has a run ended. With `report` its owner is told of the end.
+    pub fn stop(&mut self, key: &RunKey, report: bool) -> bool {
+        let Some(run) = self.runs.get_mut(key) else {
+            return false;
+        };
+        run.report &= report;
+        if run.stop != StopStage::Wanted {
+            return false;
+        }
+        run.stop = StopStage::ToSend;
+        true
+    }
+
+    /// Returns the runs that a stop is to be sent for.
+    #[must_use]
+    pub fn stops_to_send(&self) -> Vec<RunKey> {
+        let runs = self.runs.iter();
+        let runs = runs.filter(|(_, run)| run.stop == StopStage::ToSend);
+        runs.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Takes note that a stop was sent.
+    pub fn stop_sent(&mut self, key: &RunKey, call: CallId) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.stop = StopStage::Sent(call);
+        }
+    }
+
+    /// Takes note of the reply to a stop, or that there is none.
+    pub fn stop_replied(&mut self, now: Millis, key: &RunKey, call: CallId, taken: bool) {
+        if let Some(run) = self.runs.get_mut(key) {
+            if run.stop == StopStage::Sent(call) {
+                run.stop = if taken {
+                    StopStage::Taken(now)
+                } else {
+                    StopStage::ToSend
+                };
+            }
+        }
+    }
+
+    /// Tells whether an end is awaited that a listing shows sooner than the
+    /// target would by itself.
+    #[must_use]
+    pub fn is_pressing(&self) -> bool {
+        self.stage == Stage::Settling
+            || self
+                .runs
+                .values()
+                .any(|run| !matches!(run.stop, StopStage::Wanted))
+    }
+
+    /// Takes a listing in that was asked for at `asked`; returns what ended.
+    pub fn list(
+        &mut self,
+        now: Millis,
+        asked: Millis,
+        running: &[RunKey],
+        ended: &[ListedEnd],
+    ) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for end in ended {
+            self.noted = self.noted.max(end.number);
+            reports.extend(self.listed_end(now, end));
+        }
+        for key in running {
+            if let Some(run) = self.runs.get_mut(key) {
+                run.taken.get_or_insert(now);
+            }
+        }
+        let over = self.runs.iter().filter(|(key, run)| {
+            let stopped = matches!(run.stop, StopStage::Taken(at) if at <= asked);
+            let begun = run.taken.is_some_and(|at| at <= asked);
+            let too_late = run.begins_before < asked;
+            (stopped || begun || too_late) && !running.contains(key)
+        });
+        let over: Vec<RunKey> = over.map(|(key, _)| key.clone()).collect();
+        for key in over {
+            reports.extend(self.end(now, &key, End::Lost, "not listed"));
+        }
+        if self.stage == Stage::Taking || self.stage == Stage::Settling {
+            let known = running.iter().all(|key| self.runs.contains_key(key));
+            self.stage = if known { Stage::Kept } else { Stage::Settling };
+            if known {
+                self.kept_since = now;
+            }
+        }
+        reports
+    }
+
+    fn listed_end(&mut self, now: Millis, end: &ListedEnd) -> Option<Report> {
+        let run = self.runs.get(&end.key)?;
+        let took = now.saturating_sub(run.started);
+        match end.how {
+            ListedHow::Done => {
+                self.failures = 0;
+                self.suspensions = 0;
+                let ratio = took as f64 / run.estimate_ms.max(1) as f64;
+                self.pace += PACE_WEIGHT * (ratio.clamp(0.2, 5.0) - self.pace);
+                self.end(now, &end.key, End::Done, "listed")
+            }
+            ListedHow::Failed => {
+                self.failed(now);
+                self.end(now, &end.key, End::Failed, "listed")
+            }
+            ListedHow::Ended => self.end(now, &end.key, End::Lost, "listed"),
+        }
+    }
+
+    /// Takes note of a failure; leaves the target alone after some in a row.
+    pub fn failed(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_SUSPEND && self.suspended_until <= now {
+            self.suspend(now);
+        }
+    }
+
+    /// Leaves the target alone for a while.
+    pub fn suspend(&mut self, now: Millis) {
+        let length = FIRST_SUSPENSION_MS << self.suspensions.min(3);
+        self.suspended_until = now + length.min(LONGEST_SUSPENSION_MS);
+        self.suspensions += 1;
+        self.failures = self.failures.max(FAILURES_TO_SUSPEND);
+    }
+
+    /// Tells whether the target is left alone.
+    #[must_use]
+    pub fn is_suspended(&self, now: Millis) -> bool {
+        self.suspended_until > now
+    }
+
+    /// Ends a run in the books.
+    pub fn end(&mut self, now: Millis, key: &RunKey, end: End, by: &'static str) -> Option<Report> {
+        let run = self.runs.remove(key)?;
+        Some(Report {
+            owner: run.owner,
+            session: run.session,
+            end: RunEnd {
+                key: key.clone(),
+                end,
+                target: self.entry.id.clone(),
+            },
+            by,
+            took_ms: now.saturating_sub(run.started),
+            wanted: run.report,
+        })
+    }
+
+    /// Ends all runs in the books.
+    pub fn end_all(&mut self, now: Millis, by: &'static str) -> Vec<Report> {
+        let keys: Vec<RunKey> = self.runs.keys().cloned().collect();
+        let ends = keys.iter();
+        ends.filter_map(|key| self.end(now, key, End::Lost, by))
+            .collect()
+    }
+
+    /// Tells whether whatever ran there is over, by the last hold.
+    #[must_use]
+    pub fn is_over(&self, now: Millis) -> bool {
+        self.over_by < now
+    }
+
+    /// Returns the runs that have gone on for far longer than estimated.
+    #[must_use]
+    pub fn overruns(&self, now: Millis) -> Vec<RunKey> {
+        let runs = self.runs.iter().filter(|(_, run)| {
+            let allowed = run.estimate_ms as f64 * OVERRUN_FACTOR * self.pace.clamp(1.0, 2.0);
+            let allowed = allowed as Millis + OVERRUN_MS;
+            run.stop == StopStage::Wanted && now > run.started + allowed
+        });
+        runs.map(|(key, _)| key.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/core_task.rs
@@ -0,0 +1,261 @@
+//! The task that owns the dispatcher.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use gannetridge_dispatch::message::{Envelope, Reply};
+use gannetridge_dispatch::{Action, Answer, Dispatcher, Event, Millis, Note, SendFailure, Token};
+use gannetridge_net::Client;
+use local_sync::{mpsc::unbounded, oneshot};
+use monoio::time::timeout;
+use tracing::info;
+
+use crate::logging::Log;
+use crate::metrics::{end_name, Metrics};
+use crate::outside::{Outside, TargetOrder};
+use crate::peer_api;
+use crate::process::Reloader;
+use crate::signals::Signals;
+
+/// A look at the dispatcher.
+pub type Look = Box<dyn FnOnce(&Dispatcher, &Metrics)>;
+
+/// What other tasks send to the task that owns the dispatcher.
+pub enum Message {
+    /// A caller's request.
+    Caller(Event, Token, oneshot::Sender<Answer>),
+    /// A peer's request.
+    Peer(Box<Envelope>, Token, oneshot::Sender<Box<Reply>>),
+    /// Something else that happened.
+    Event(Event),
+    /// A look at the dispatcher.
+    Look(Look),
+}
+
+/// Sends messages to the task that owns the dispatcher.
+pub type Sender = unbounded::Tx<Message>;
+
+/// Owns the dispatcher and carries its actions out.
+pub struct CoreTask {
+    /// The decisions.
+    pub dispatcher: Dispatcher,
+    /// When the steady clock was 0.
+    pub started: Instant,
+    /// What happens.
+    pub rx: unbounded::Rx<Message>,
+    /// To tell this task what came back.
+    pub tx: Sender,
+    /// Calls peers.
+    pub peers: Client,
+    /// The platform.
+    pub outside: Outside,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// Signals.
+    pub signals: Signals,
+    /// Reads the settings file again.
+    pub reloader: Reloader,
+    /// The log.
+    pub log: Log,
+    /// Requests of callers that wait.
+    pub callers: HashMap<Token, oneshot::Sender<Answer>>,
+    /// Requests of peers that wait.
+    pub waiting_peers: HashMap<Token, oneshot::Sender<Box<Reply>>>,
+    /// Whether the dispatcher has nothing left to do.
+    pub stopped: bool,
+}
+
+impl CoreTask {
+    fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    /// Runs until the dispatcher has stopped, or every sender is gone.
+    pub async fn run(mut self) {
+        while !self.stopped {
+            let wait = self.dispatcher.next_timer().saturating_sub(self.now());
+            match timeout(Duration::from_millis(wait), self.rx.recv()).await {
+                Err(_) => self.handle(Event::Tick),
+                Ok(None) => return,
+                Ok(Some(message)) => self.on_message(message),
+            }
+            self.look_at_signals();
+        }
+    }
+
+    fn look_at_signals(&mut self) {
+        if self.signals.take_stop() {
+            info!(event = "stopping");
+            self.handle(Event::Stop);
+        }
+        let now = self.now();
+        let asked = self.signals.take_reload();
+        if let Some(settings) = self.reloader.reload(now, asked) {
+            self.dispatcher.set_seeds(&settings.seeds);
+        }
+    }
+
+    fn on_message(&mut self, message: Message) {
+        match message {
+            Message::Caller(event, token, tx) => {
+                self.callers.insert(token, tx);
+                self.handle(event);
+            }
+            Message::Peer(envelope, token, tx) => {
+                self.waiting_peers.insert(token, tx);
+                self.handle(Event::Peer { token, envelope });
+                // A request that is passed over has no reply.
+                self.waiting_peers.remove(&token);
+            }
+            Message::Event(event) => {
+                if let Event::CallerGone { token } = &event {
+                    self.callers.remove(token);
+                }
+                self.handle(event);
+            }
+            Message::Look(look) => {
+                let now = self.now();
+                self.metrics
+                    .observe(now, &self.dispatcher, self.log.dropped());
+                look(&self.dispatcher, &self.metrics);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        for action in self.dispatcher.handle(now, event) {
+            self.perform(action);
+        }
+    }
+
+    // A receiver that is gone has no use for its answer: sends that fail are
+    // passed over below.
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Answer { token, answer } => {
+                if let Some(tx) = self.callers.remove(&token) {
+                    let _ = tx.send(answer);
+                }
+            }
+            Action::Reply { token, reply } => {
+                if let Some(tx) = self.waiting_peers.remove(&token) {
+                    let _ = tx.send(reply);
+                }
+            }
+            Action::Call {
+                call,
+                address,
+                envelope,
+                wait_ms,
+            } => {
+                let (client, tx) = (self.peers.clone(), self.tx.clone());
+                monoio::spawn(async move {
+                    let reply = peer_api::call(&client, address, &envelope, wait_ms).await;
+                    let _ = tx.send(Message::Event(Event::PeerReply { call, reply }));
+                });
+            }
+            Action::Target {
+                call,
+                id,
+                address,
+                fence,
+                order,
+                wait_ms,
+            } => {
+                let tx = self.tx.clone();
+                let calling = address.parse().ok().map(|address| {
+                    (self.outside.call_target)(TargetOrder {
+                        id,
+                        address,
+                        fence,
+                        call: order,
+                        wait_ms,
+                    })
+                });
+                monoio::spawn(async move {
+                    let reply = match calling {
+                        Some(calling) => calling.await,
+                        None => Err(SendFailure::NotSent),
+                    };
+                    let _ = tx.send(Message::Event(Event::TargetReply { call, reply }));
+                });
+            }
+            Action::Note(note) => {
+                log(&note);
+                self.metrics.note(&note);
+            }
+            Action::Stopped => self.stopped = true,
+        }
+    }
+}
+
+fn log(note: &Note) {
+    match note {
+        Note::JobTaken {
+            job,
+            queue,
+            tasks,
+            aim_ms,
+            deadline_ms,
+            version,
+        } => info!(event = "job-taken", %job, %queue, tasks, aim_ms, deadline_ms, version),
+        Note::JobRejected {
+            path,
+            reason,
+            version,
+        } => info!(event = "job-rejected", %path, reason, version),
+        Note::JobEnded {
+            job,
+            queue,
+            cause,
+            done,
+            starts,
+            took_ms,
+            aim_ms,
+        } => {
+            let cause = cause.as_str();
+            info!(event = "job-ended", %job, %queue, cause, done, starts, took_ms, aim_ms);
+        }
+        Note::Asked {
+            peer,
+            first,
+            tasks,
+            age_ms,
+        } => info!(event = "peer-asked", task = %first.task, run = first.run, %peer, tasks, age_ms),
+        Note::Started {
+            key,
+            target,
+            owner,
+            left_cpu,
+        } => info!(event = "started", task = %key.task, run = key.run, %target, %owner, left_cpu),
+        Note::RunEnded {
+            key,
+            target,
+            end,
+            by,
+            took_ms,
+        } => {
+            let end = end_name(*end);
+            info!(event = "run-ended", task = %key.task, run = key.run, %target, end, by, took_ms);
+        }
+        Note::Stopping {
+            key,
+            target,
+            reason,
+        } => info!(event = "run-stopping", task = %key.task, run = key.run, %target, reason),
+        Note::Target { target, state, by } => info!(event = "target", %target, state, by),
+        Note::Peer {
+            peer,
+            state,
+            silent_ms,
+        } => info!(event = "peer", %peer, state, silent_ms),
+        Note::SessionLost {
+            peer,
+            runs,
+            over_in_ms,
+        } => info!(event = "session-lost", %peer, runs, over_in_ms),
+        Note::Queues { version, from } => info!(event = "configuration", version, from),
+        Note::Store { reachable } => info!(event = "store", reachable),
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/lib.rs
@@ -0,0 +1,17 @@
+//! The process around [`gannetridge_dispatch::Dispatcher`]: sockets, timers,
+//! the platform's store, logs and metrics.
+//!
+//! What the platform is like, this crate doesn't know: it is given an
+//! [`outside::Outside`] that makes each call once, as it is told. Tasks own
+//! their sockets and talk to the one that owns the dispatcher by messages.
+
+pub mod caller_api;
+pub mod core_task;
+pub mod logging;
+pub mod metrics;
+pub mod outside;
+pub mod peer_api;
+pub mod process;
+pub mod settings;
+pub mod signals;
+pub mod store_task;
--- /dev/null
+++ b/crates/dispatcher/src/outside.rs
@@ -0,0 +1,144 @@
+//! What the process needs of the platform, as typed calls.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use gannetridge_dispatch::event::{SendFailure, Submit, TargetChange, TargetEntry, TargetReply};
+use gannetridge_dispatch::message::HostInfo;
+use gannetridge_dispatch::queues::Queues;
+use gannetridge_dispatch::{Answer, Millis, TargetCall};
+use gannetridge_net::{HttpReply, HttpRequest};
+use gannetridge_wire::Name;
+use thiserror::Error;
+
+/// A future that stays on its thread.
+pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// What a caller asks, as the platform's clients say it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerRequest {
+    /// Run a job.
+    Submit(Box<Submit>),
+    /// Tell a job's state, or a queue's count.
+    Ask {
+        /// The virtual host.
+        host: Name,
+        /// The path.
+        path: Name,
+    },
+    /// Take a job back.
+    Cancel {
+        /// The virtual host.
+        host: Name,
+        /// The path.
+        path: Name,
+    },
+}
+
+/// A call to a target.
+#[derive(Clone, Debug)]
+pub struct TargetOrder {
+    /// The life of the target that is meant.
+    pub id: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The keeper's token.
+    pub fence: u64,
+    /// What is asked.
+    pub call: TargetCall,
+    /// How long to wait for the reply.
+    pub wait_ms: Millis,
+}
+
+/// The tables that are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Table {
+    /// The operator's: the configuration.
+    Configuration,
+    /// The targets'.
+    Targets,
+    /// The hosts' own.
+    Hosts,
+}
+
+/// A row, or that it is gone.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Row {
+    /// The configuration.
+    Queues(Queues),
+    /// A target.
+    Target(TargetChange),
+    /// A host.
+    Host(HostInfo),
+    /// A row that can't be read.
+    Faulty(Name),
+}
+
+/// Rows, and the version that they stand for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Changes after this version aren't among them.
+    pub version: u64,
+}
+
+impl Rows {
+    /// Returns the targets, of rows that are a whole list.
+    #[must_use]
+    pub fn into_targets(self) -> Vec<TargetEntry> {
+        let rows = self.rows.into_iter();
+        rows.filter_map(|row| match row {
+            Row::Target(TargetChange::There(entry)) => Some(entry),
+            _ => None,
+        })
+        .collect()
+    }
+}
+
+/// Why the store gave nothing.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// It no longer knows what has changed since.
+    #[error("the store's history is gone")]
+    HistoryGone,
+    /// It asks for fewer calls.
+    #[error("the store takes no more calls now")]
+    Busy,
+    /// It gave no answer.
+    #[error("no answer from the store: {0}")]
+    Unreachable(Name),
+    /// Its answer can't be read.
+    #[error("unreadable answer from the store: {0}")]
+    Unreadable(Name),
+}
+
+/// Calls a target once.
+pub type CallTarget = Rc<dyn Fn(TargetOrder) -> LocalFuture<Result<TargetReply, SendFailure>>>;
+/// Reads a table whole.
+pub type ReadTable = Rc<dyn Fn(Table) -> LocalFuture<Result<Rows, StoreError>>>;
+/// Reads what changed in a table after a version; waits for a change.
+pub type FollowTable = Rc<dyn Fn(Table, u64, Millis) -> LocalFuture<Result<Rows, StoreError>>>;
+/// Writes this host's row.
+pub type WriteHost = Rc<dyn Fn(HostInfo) -> LocalFuture<Result<(), StoreError>>>;
+
+/// The platform, as typed calls.
+#[derive(Clone)]
+pub struct Outside {
+    /// Reads a caller's request; what can't be read has its reply at once.
+    pub read_caller: Rc<dyn Fn(&HttpRequest) -> Result<CallerRequest, Box<HttpReply>>>,
+    /// Words an answer.
+    pub answer: Rc<dyn Fn(&Answer) -> HttpReply>,
+    /// The path at which the platform asks whether the host is ready.
+    pub readiness_path: &'static str,
+    /// See [`CallTarget`].
+    pub call_target: CallTarget,
+    /// See [`ReadTable`].
+    pub read_table: ReadTable,
+    /// See [`FollowTable`].
+    pub follow_table: FollowTable,
+    /// See [`WriteHost`].
+    pub write_host: WriteHost,
+}
--- /dev/null
+++ b/crates/dispatcher/src/peer_api.rs
@@ -0,0 +1,79 @@
+//! What hosts ask of each other, over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gannetridge_dispatch::message::{Envelope, Reply};
+use gannetridge_dispatch::{Millis, SendFailure};
+use gannetridge_net::{CallError, Client, HttpReply, HttpRequest};
+use gannetridge_wire::codec;
+use http::{Method, StatusCode};
+use local_sync::oneshot;
+use tracing::warn;
+
+use crate::caller_api::Tokens;
+use crate::core_task::{Message, Sender};
+
+const PATH: &str = "/dispatch/v1";
+const MEDIA_TYPE: &str = "application/msgpack";
+
+/// Handles one request of a peer.
+pub async fn handle(tx: Sender, tokens: Tokens, req: HttpRequest) -> HttpReply {
+    let envelope: Envelope = match codec::decode(&req.body) {
+        Ok(envelope) if req.path == PATH => envelope,
+        Ok(_) => return HttpReply::problem(StatusCode::NOT_FOUND, "no-such-path", "No such path"),
+        Err(error) => {
+            warn!(event = "unreadable-peer", %error);
+            let status = StatusCode::BAD_REQUEST;
+            return HttpReply::problem(status, "unreadable", "The body is no message");
+        }
+    };
+    let (reply_tx, reply_rx) = oneshot::channel();
+    let sent = tx.send(Message::Peer(Box::new(envelope), tokens.next(), reply_tx));
+    let encoded = match (sent, reply_rx.await) {
+        (Ok(()), Ok(reply)) => codec::encode(&*reply).ok(),
+        _ => None,
+    };
+    match encoded {
+        Some(body) => HttpReply::new(StatusCode::OK, MEDIA_TYPE, body),
+        None => HttpReply::problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stopping",
+            "The host has stopped",
+        ),
+    }
+}
+
+/// Sends a request to a peer.
+///
+/// # Errors
+///
+/// Fails if there is no reply, and tells whether the request was sent.
+pub async fn call(
+    client: &Client,
+    address: SocketAddr,
+    envelope: &Envelope,
+    wait_ms: Millis,
+) -> Result<Box<Reply>, SendFailure> {
+    let body = codec::encode(envelope).map_err(|error| {
+        warn!(event = "unencodable-message", %error);
+        SendFailure::NotSent
+    })?;
+    let wait = Duration::from_millis(wait_ms);
+    let sent = client.call(address, Method::POST, PATH, MEDIA_TYPE, body.into(), wait);
+    let reply = sent.await.map_err(|error| failure(&error))?;
+    codec::decode(&reply.body).map(Box::new).map_err(|error| {
+        warn!(event = "unreadable-peer", %address, %error);
+        SendFailure::Unknown
+    })
+}
+
+/// Tells why a call has no reply.
+#[must_use]
+pub fn failure(error: &CallError) -> SendFailure {
+    match error {
+        CallError::NotSent(cause) if cause.is_refused() => SendFailure::Refused,
+        CallError::NotSent(_) => SendFailure::NotSent,
+        CallError::Unknown(_) => SendFailure::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/process.rs
@@ -0,0 +1,220 @@
+//! Puts a process together and runs it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context;
+use gannetridge_dispatch::{Dispatcher, Millis};
+use gannetridge_net::{bind, serve, Client, ClientLimits, HttpReply, HttpRequest, ServerLimits};
+use http::StatusCode;
+use local_sync::mpsc::unbounded;
+use local_sync::oneshot;
+use monoio::net::TcpListener;
+use tracing::{info, warn};
+
+use crate::caller_api::{self, Tokens};
+use crate::core_task::{CoreTask, Message, Sender};
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::outside::{Outside, Table};
+use crate::peer_api;
+use crate::settings::Settings;
+use crate::signals::Signals;
+use crate::store_task::{announce, follow, Reachable};
+
+/// Between looks at the settings file, which may change without a signal.
+const LOOK_MS: Millis = 2_000;
+/// How long the last answers have to leave the sockets.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_millis(100);
+/// The text format of Prometheus.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+/// Bounds on connections to targets, peers and the store.
+const CONNECT_MS: u64 = 150;
+
+/// Reads the settings file again when it may have changed.
+pub struct Reloader {
+    path: PathBuf,
+    current: Settings,
+    next_look: Millis,
+}
+
+impl Reloader {
+    /// Starts from settings that were read from `path`.
+    #[must_use]
+    pub fn new(path: &Path, current: Settings) -> Self {
+        Self {
+            path: path.to_owned(),
+            current,
+            next_look: 0,
+        }
+    }
+
+    /// Reads the file if asked to, or if it is time; returns other settings.
+    /// A file with faults changes nothing.
+    pub fn reload(&mut self, now: Millis, asked: bool) -> Option<&Settings> {
+        if !asked && now < self.next_look {
+            return None;
+        }
+        self.next_look = now + LOOK_MS;
+        let read: Settings = match gannetridge_config::settings::read(&self.path) {
+            Ok(read) => read,
+            Err(error) => {
+                warn!(event = "reload-failed", error = %format!("{error:#}"));
+                return None;
+            }
+        };
+        let changed = read != self.current;
+        if asked || changed {
+            info!(event = "reload", asked, changed);
+        }
+        if !changed {
+            return None;
+        }
+        self.current = read;
+        Some(&self.current)
+    }
+}
+
+/// Runs a process until it is asked to stop and has done so.
+///
+/// # Errors
+///
+/// Fails if the settings can't work or an address can't be bound.
+pub async fn run(path: &Path, settings: Settings, outside: Outside) -> anyhow::Result<()> {
+    let log = logging::start(&settings.log)?;
+    let started = Instant::now();
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let epoch_ms = epoch.map_or(0, |since| since.as_millis() as u64);
+    let dispatcher = Dispatcher::new(gannetridge_dispatch::Settings {
+        name: settings.name.clone(),
+        address: settings.peers,
+        hall: settings.hall.clone(),
+        incarnation: epoch_ms,
+        seeds: settings.seeds.clone(),
+        bounds: settings.bounds.bounds(),
+        epoch_ms,
+    })?;
+    let info = dispatcher.info().clone();
+    let (tx, rx) = unbounded::channel();
+    let signals = Signals::listen()?;
+    serve_all(&settings, &outside, &tx)?;
+    let reachable = Reachable::new(tx.clone());
+    for table in [Table::Configuration, Table::Targets, Table::Hosts] {
+        let (outside, tx, reachable) = (outside.clone(), tx.clone(), reachable.clone());
+        monoio::spawn(follow(outside, table, tx, reachable));
+    }
+    monoio::spawn(announce(outside.clone(), info));
+    info!(
+        event = "started",
+        name = %settings.name,
+        hall = %settings.hall,
+        version = env!("CARGO_PKG_VERSION"),
+        incarnation = epoch_ms,
+        bounds = ?settings.bounds,
+    );
+    let core = CoreTask {
+        dispatcher,
+        started,
+        rx,
+        tx,
+        peers: Client::new(client_limits()),
+        outside,
+        metrics: Metrics::new()?,
+        signals,
+        reloader: Reloader::new(path, settings),
+        log,
+        callers: HashMap::new(),
+        waiting_peers: HashMap::new(),
+        stopped: false,
+    };
+    core.run().await;
+    info!(event = "stopped");
+    monoio::time::sleep(LAST_ANSWERS).await;
+    Ok(())
+}
+
+/// Returns the bounds on the process's own calls.
+#[must_use]
+pub fn client_limits() -> ClientLimits {
+    ClientLimits {
+        connect: std::time::Duration::from_millis(CONNECT_MS),
+        ..ClientLimits::default()
+    }
+}
+
+fn serve_all(settings: &Settings, outside: &Outside, tx: &Sender) -> anyhow::Result<()> {
+    let tokens = Tokens::default();
+    let peers = listen(settings.peers)?;
+    let (peer_tx, peer_tokens) = (tx.clone(), tokens.clone());
+    monoio::spawn(serve(peers, ServerLimits::default(), move |req| {
+        peer_api::handle(peer_tx.clone(), peer_tokens.clone(), req)
+    }));
+    let callers = listen(settings.callers)?;
+    let (caller_tx, caller_outside) = (tx.clone(), outside.clone());
+    monoio::spawn(serve(callers, ServerLimits::default(), move |req| {
+        caller_api::handle(
+            caller_tx.clone(),
+            tokens.clone(),
+            caller_outside.clone(),
+            req,
+        )
+    }));
+    let readiness = listen(settings.readiness)?;
+    let (ready_tx, path) = (tx.clone(), outside.readiness_path);
+    monoio::spawn(serve(readiness, ServerLimits::default(), move |req| {
+        ready(ready_tx.clone(), path, req)
+    }));
+    let metrics = listen(settings.metrics)?;
+    let metrics_tx = tx.clone();
+    monoio::spawn(serve(metrics, ServerLimits::default(), move |_| {
+        tell_metrics(metrics_tx.clone())
+    }));
+    Ok(())
+}
+
+fn listen(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    bind(addr).with_context(|| format!("can't listen on {addr}"))
+}
+
+async fn ready(tx: Sender, path: &'static str, req: HttpRequest) -> HttpReply {
+    if req.path != path {
+        return HttpReply::problem(StatusCode::NOT_FOUND, "no-such-path", "No such path");
+    }
+    look(tx, |dispatcher, _| {
+        if dispatcher.is_ready() {
+            return HttpReply::new(StatusCode::OK, "text/plain", "ready\n");
+        }
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        HttpReply::problem(status, "not-ready", "No configuration yet, or stopping")
+    })
+    .await
+}
+
+async fn tell_metrics(tx: Sender) -> HttpReply {
+    look(tx, |_, metrics| match metrics.text() {
+        Ok(text) => HttpReply::new(StatusCode::OK, METRICS_TYPE, text),
+        Err(_) => {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            HttpReply::problem(status, "metrics", "The metrics can't be encoded")
+        }
+    })
+    .await
+}
+
+async fn look(
+    tx: Sender,
+    make: impl FnOnce(&Dispatcher, &Metrics) -> HttpReply + 'static,
+) -> HttpReply {
+    let (reply_tx, reply_rx) = oneshot::channel();
+    let look = move |dispatcher: &Dispatcher, metrics: &Metrics| {
+        // Whoever asked may be gone.
+        let _ = reply_tx.send(make(dispatcher, metrics));
+    };
+    let sent = tx.send(Message::Look(Box::new(look)));
+    match (sent, reply_rx.await) {
+        (Ok(()), Ok(reply)) => reply,
+        _ => HttpReply::problem(StatusCode::SERVICE_UNAVAILABLE, "stopping", "Stopping"),
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/settings.rs
@@ -0,0 +1,97 @@
+//! The settings file of a dispatcher, TOML.
+
+use std::net::SocketAddr;
+
+use gannetridge_dispatch::Bounds;
+use gannetridge_wire::Name;
+use serde::{Deserialize, Serialize};
+
+/// The settings of one host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Settings {
+    /// The host's name.
+    pub name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the host is ready.
+    pub readiness: SocketAddr,
+    /// Where peers are served.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Peers that may be there.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds that the deployment sets.
+    #[serde(default)]
+    pub bounds: BoundsSettings,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct BoundsSettings {
+    /// The earliest time after a broken answer at which a caller sends again.
+    pub retransmit_ms: u64,
+    /// The longest hold that a target grants.
+    pub max_hold_ms: u64,
+    /// The longest that a stop of a run takes.
+    pub stop_grace_ms: u64,
+    /// How long a stop in order of the process may take.
+    pub grace_period_s: f64,
+    /// How long a target serves on after it said that it leaves.
+    pub drain_ms: u64,
+}
+
+impl Default for BoundsSettings {
+    fn default() -> Self {
+        Self {
+            retransmit_ms: 1_300,
+            max_hold_ms: 1_000,
+            stop_grace_ms: 50,
+            grace_period_s: 6.0,
+            drain_ms: 2_000,
+        }
+    }
+}
+
+impl BoundsSettings {
+    /// Returns the bounds in the dispatcher's form.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            retransmit_ms: self.retransmit_ms,
+            max_hold_ms: self.max_hold_ms,
+            stop_grace_ms: self.stop_grace_ms,
+            grace_period_ms: (self.grace_period_s * 1_000.0) as u64,
+            drain_ms: self.drain_ms,
+        }
+    }
+}
+
+/// What is logged.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// A filter such as `info` or `gannetridge=debug`.
+    pub level: String,
+    /// Lines that may wait for a slow reader; more are dropped and counted.
+    pub waiting_lines: usize,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+            waiting_lines: 4_096,
+        }
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -33,6 +33,14 @@
     Ended,
 }
 
+impl ReadError {
+    /// Tells whether nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Wraps the codec's head decoder with a limit.
 pub struct BoundedHead<D> {
     inner: D,
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, Version};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Version};
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
 use monoio::io::Splitable;
@@ -104,9 +105,39 @@
         content_type: &'static str,
         body: Bytes,
         wait: Duration,
+    ) -> Result<ClientReply, CallError> {
+        let mut req = request(addr, method, path, body);
+        let content_type = HeaderValue::from_static(content_type);
+        req.headers_mut().insert(CONTENT_TYPE, content_type);
+        self.exchange(addr, req, wait).await
+    }
+
+    /// Sends a request with headers of its own and waits for the reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CallError::NotSent`] only if no byte was written.
+    pub async fn call_with(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<ClientReply, CallError> {
+        let mut req = request(addr, method, path, body);
+        req.headers_mut().extend(headers);
+        self.exchange(addr, req, wait).await
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        req: Request<Payload>,
+        wait: Duration,
     ) -> Result<ClientReply, CallError> {
         let mut connection = self.connection(addr).await?;
-        let req = request(addr, method, path, content_type, body);
         let exchange = exchange(&mut connection, req, self.limits);
         match timeout(wait, exchange).await {
             Err(_) => Err(CallError::Unknown(ReadError::TimedOut)),
@@ -159,13 +190,7 @@
     timeout(Duration::ZERO, peek).await.is_err()
 }
 
-fn request(
-    addr: SocketAddr,
-    method: Method,
-    path: &str,
-    content_type: &'static str,
-    body: Bytes,
-) -> Request<Payload> {
+fn request(addr: SocketAddr, method: Method, path: &str, body: Bytes) -> Request<Payload> {
     let payload: Payload = if body.is_empty() {
         Payload::None
     } else {
@@ -176,7 +201,6 @@
         .uri(path)
         .version(Version::HTTP_11)
         .header(http::header::HOST, addr.to_string())
-        .header(http::header::CONTENT_TYPE, content_type)
         .body(payload)
         .expect("callers pass valid paths")
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -74,7 +74,8 @@
 }
 
 /// Accepts connections for as long as the task lives, and calls `handler` for
-/// each request.
+/// each request. What it returns is dropped when the request's connection
+/// ends before the reply.
 pub async fn serve<H, F>(listener: TcpListener, limits: ServerLimits, handler: H)
 where
     H: Fn(HttpRequest) -> F + Clone + 'static,
@@ -138,7 +139,9 @@
             }
         };
         let close = wants_close(&req);
-        let reply = handler(req).await;
+        let Some(reply) = unless_gone(&mut reader, handler(req)).await else {
+            return Err(ReadError::Ended);
+        };
         if writer.send_and_flush(response(reply, close)).await.is_err() {
             return Err(ReadError::Ended);
         }
@@ -149,6 +152,23 @@
     }
 }
 
+/// Awaits a handler's reply, and drops the handler when its caller is gone.
+async fn unless_gone<R: monoio::io::AsyncReadRent>(
+    reader: &mut FramedRead<R, BoundedHead<RequestHeadDecoder>>,
+    handler: impl Future<Output = HttpReply>,
+) -> Option<HttpReply> {
+    let mut handler = std::pin::pin!(handler);
+    let gone = monoio::select! {
+        reply = &mut handler => return Some(reply),
+        peeked = reader.peek_data() => peeked.map_or(true, |data| data.is_empty()),
+    };
+    // What came is the next request; it waits for this one's reply.
+    if gone {
+        return None;
+    }
+    Some(handler.await)
+}
+
 fn wants_close(req: &HttpRequest) -> bool {
     let connection = req.headers.get(http::header::CONNECTION);
     connection.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
