Never call a job failed that ran out of time, nor one refused that may have begun

A job out of time was answered as failed, and a job whose tasks a peer had been asked to start was refused as not run. The first hold follows the first start at once instead of at the next tick, and entries that lapse with the store don't close targets. Tests: crates/dispatch/tests/answers.rs, two of which failed first.

--- a/crates/dispatch/src/action.rs
+++ b/crates/dispatch/src/action.rs
@@ -15,8 +15,10 @@
 pub enum Answer {
     /// All tasks have ended well.
     Completed,
-    /// A task has failed too often, or the job could not end in time.
+    /// A task has failed as often as its queue allows.
     Failed,
+    /// The job could not end in time; some of it may have run.
+    Unfinished,
     /// The job has not run and never will; the caller may come back.
     Refused {
         /// When to come back, in ms.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -694,8 +694,7 @@
     // What is due.
 
     fn tick(&mut self, now: Millis) {
-        let busy = !self.jobs.is_empty() || self.keeper.runs() > 0;
-        self.next_tick = now + if busy { TICK_MS } else { IDLE_TICK_MS };
+        self.next_tick = now + IDLE_TICK_MS;
         self.jobs.tick(now);
         let may_take = self.started.is_some_and(|at| at + SETTLE_MS <= now);
         let staying = self.peers.staying(now, self.stopping.is_none());
@@ -730,6 +729,11 @@
         self.deliver_stops(now);
         self.deliver_reports(now);
         self.send_outboxes(now);
+        self.keeper.send_holds(now);
+        let busy = !self.jobs.is_empty() || self.keeper.runs() > 0;
+        if busy {
+            self.next_tick = self.next_tick.min(now + TICK_MS);
+        }
         self.out.append(&mut self.jobs.out);
         self.out.append(&mut self.keeper.out);
     }
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -69,7 +69,7 @@
     aim_ms: Millis,
     deadline: Millis,
     tasks: Vec<Task>,
-    /// Whether a task of it may have begun.
+    /// Whether a task of it was started, or is lost.
     begun: bool,
     starts: u32,
 }
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Tells whether a task may have begun: only where none can have, the job
+    /// may be said not to run.
+    fn may_have_begun(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        self.begun || tasks.any(|task| matches!(task.state, TaskState::Asked(_)))
+    }
+
     fn done(&self) -> usize {
         let done = self.tasks.iter();
         done.filter(|task| task.state == TaskState::Done).count()
@@ -483,10 +490,11 @@
         let answer = match cause {
             Cause::Done => Answer::Completed,
             Cause::Cancelled => Answer::Cancelled,
-            _ if !job.begun => Answer::Refused {
+            Cause::Attempts => Answer::Failed,
+            _ if !job.may_have_begun() => Answer::Refused {
                 retry_after_ms: job.aim_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1),
             },
-            _ => Answer::Failed,
+            _ => Answer::Unfinished,
         };
         for token in &job.tokens {
             self.by_token.remove(token);
@@ -544,7 +552,7 @@
 /// Tells why a job has to end now, if it has.
 fn due_end(now: Millis, job: &Job) -> Option<Cause> {
     let wait = (job.deadline - job.taken) as f64;
-    if !job.begun && now >= job.taken + (wait * WAIT_SHARE) as Millis {
+    if !job.may_have_begun() && now >= job.taken + (wait * WAIT_SHARE) as Millis {
         return Some(Cause::NoRoom);
     }
     let left = job.tasks.iter().filter_map(|task| match task.state {
--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The targets that this host looks after.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use gannetridge_wire::Name;
 
@@ -58,6 +58,8 @@
     epoch_ms: u64,
     unique: u64,
     targets: BTreeMap<Name, Target>,
+    /// The targets that this host looks after or is taking.
+    ours: BTreeSet<Name>,
     calls: HashMap<CallId, Purpose>,
     /// Targets that another host should have, and since when.
     surplus: HashMap<Name, Millis>,
@@ -83,6 +85,7 @@
             epoch_ms: settings.epoch_ms,
             unique: xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes()) % UNIQUE,
             targets: BTreeMap::new(),
+            ours: BTreeSet::new(),
             calls: HashMap::new(),
             surplus: HashMap::new(),
             last_fence: 0,
@@ -98,15 +101,13 @@
     /// Returns how many targets are known and how many are kept.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
-        (self.targets.len(), self.kept().len())
+        (self.targets.len(), self.ours.len())
     }
 
     /// Returns the targets that this host looks after or is taking.
     #[must_use]
     pub fn kept(&self) -> Vec<Name> {
-        let kept = self.targets.iter();
-        let kept = kept.filter(|(_, target)| target.stage != Stage::Elsewhere);
-        kept.map(|(id, _)| id.clone()).collect()
+        self.ours.iter().cloned().collect()
     }
 
     /// Returns how many runs are in the books.
@@ -118,7 +119,7 @@
     /// Returns the free room, a row for each open target with some.
     #[must_use]
     pub fn free(&self, now: Millis) -> Vec<FreeRoom> {
-        let open = self.targets.values();
+        let open = self.our_targets();
         let open = open.filter(|target| self.is_usable(now, target));
         let open = open.filter(|target| target.offered.is_none());
         let rooms = open.map(|target| FreeRoom {
@@ -135,8 +136,20 @@
         targets.any(|t| t.suits(order) && t.entry.capacity.fits(&order.room))
     }
 
+    /// Returns the targets that this host looks after or is taking.
+    fn our_targets(&self) -> impl Iterator<Item = &Target> {
+        self.ours.iter().map(|id| &self.targets[id])
+    }
+
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
-        target.is_open(now) && !self.is_draining(now, target)
+        let listed = target.unlisted_since.is_none() || !self.list_settled(now);
+        listed && target.is_open(now) && !self.is_draining(now, target)
+    }
+
+    /// Tells whether a target that isn't listed is gone.
+    fn list_settled(&self, now: Millis) -> bool {
+        let back = self.store_back.unwrap_or(0);
+        self.store_reachable && back + BACK_AFTER_MS <= now
     }
 
     fn is_draining(&self, now: Millis, target: &Target) -> bool {
@@ -149,7 +162,7 @@
         if self.ended_early.contains_key(&order.key) {
             return false;
         }
-        let open = self.targets.values();
+        let open = self.our_targets();
         let open = open.filter(|target| self.is_usable(now, target));
         let open = open.filter(|target| !target.is_offered_to_others(now, owner));
         let fitting = open.filter(|target| target.suits(order) && target.fits(order));
@@ -286,7 +299,7 @@
 
     /// Offers room to a host that wants it; the room is kept free meanwhile.
     pub fn offer(&mut self, now: Millis, host: &Name, want: &Want) -> Option<FreeRoom> {
-        let open = self.targets.values();
+        let open = self.our_targets();
         let open = open.filter(|target| self.is_usable(now, target));
         let open = open.filter(|target| target.offered.is_none());
         let fitting = open.filter(|t| t.entry.pool == want.pool && t.free().fits(&want.least));
@@ -416,12 +429,14 @@
         let fence = self.next_fence(now);
         if let Some(target) = self.targets.get_mut(id) {
             target.take(now, fence);
+            self.ours.insert(id.clone());
             self.note_target(id, "taking", "assignment");
         }
     }
 
     fn give_up(&mut self, id: &Name, by: &'static str) {
         self.surplus.remove(id);
+        self.ours.remove(id);
         if let Some(target) = self.targets.get_mut(id) {
             target.leave_to_others();
             self.note_target(id, "left to others", by);
@@ -526,6 +541,7 @@
         }
         target.leave_to_others();
         target.barred_until = now + BARRED_MS;
+        self.ours.remove(id);
         self.surplus.remove(id);
         self.note_target(id, "left to others", "fenced");
     }
@@ -537,6 +553,7 @@
             target.leave_to_others();
             target.barred_until = now + BARRED_MS;
             target.unlisted_since.get_or_insert(now);
+            self.ours.remove(id);
             self.reports.extend(reports);
             self.note_target(id, "gone", "other life");
         }
@@ -638,14 +655,12 @@
         self.end_what_is_over(now);
         self.stop_overruns(now);
         self.send_stops(now);
-        self.send_holds(now);
     }
 
     /// A target that isn't listed is gone when nothing more can run there;
     /// with the store out, its silence in the list says nothing.
     fn forget_unlisted(&mut self, now: Millis) {
-        let store_back = self.store_back.unwrap_or(0);
-        let settled = self.store_reachable && store_back + BACK_AFTER_MS <= now;
+        let settled = self.list_settled(now);
         let gone = self.targets.iter().filter(|(_, target)| {
             let missing = target.unlisted_since.is_some();
             let empty = target.runs.is_empty() && target.holding.is_none();
@@ -654,6 +669,7 @@
         let gone: Vec<Name> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
             self.targets.remove(&id);
+            self.ours.remove(&id);
             self.surplus.remove(&id);
             self.note_target(&id, "gone", "list");
         }
@@ -684,12 +700,14 @@
         self.note_stops(stopped, "overrun");
     }
 
-    fn send_holds(&mut self, now: Millis) {
-        let due = self.targets.iter().filter(|(_, target)| {
-            let kept = target.stage != Stage::Elsewhere;
-            kept && target.holding.is_none() && is_call_due(target, now)
+    /// Holds targets on and asks for news, where no such call is on its way.
+    pub fn send_holds(&mut self, now: Millis) {
+        let ours = self.ours.iter();
+        let due = ours.filter(|id| {
+            let target = &self.targets[*id];
+            target.holding.is_none() && is_call_due(target, now)
         });
-        let due: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
+        let due: Vec<Name> = due.cloned().collect();
         for id in due {
             self.send_hold(now, &id);
         }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -190,7 +190,6 @@
     pub fn is_open(&self, now: Millis) -> bool {
         self.stage == Stage::Kept
             && !self.entry.leaving
-            && self.unlisted_since.is_none()
             && self.silent_since.is_none()
             && self.suspended_until <= now
             && self.clock.is_some()
--- /dev/null
+++ b/crates/dispatch/tests/answers.rs
@@ -0,0 +1,125 @@
+//! What callers are told, and when.
+
+mod support;
+
+use gannetridge_dispatch::event::{ListedHow, SendFailure};
+use gannetridge_dispatch::message::Request;
+use gannetridge_dispatch::{Answer, Event};
+use support::{case, ended, peer_info, step, target, Rig};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+case!(a_job_whose_tasks_are_done_is_completed, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(2, 7_000, 60)], 3_000);
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 2);
+    rig.pass(10);
+    let ends: Vec<_> = starts
+        .iter()
+        .enumerate()
+        .map(|(n, (_, _, key))| ended(n as u64 + 1, key, ListedHow::Done))
+        .collect();
+    let holds = rig.holds();
+    rig.listing(holds[0].0, &[], &ends);
+    assert_eq!(rig.answer_to(1), Some(&Answer::Completed));
+});
+
+case!(a_job_that_ran_out_of_time_is_unfinished_not_failed, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 900)], 2_000);
+    assert_eq!(rig.starts().len(), 1);
+    // The target says nothing any more: its hold ends, no other is there.
+    rig.pass(2_100);
+    assert_eq!(rig.answer_to(1), Some(&Answer::Unfinished));
+});
+
+case!(a_task_that_fails_as_often_as_allowed_fails_the_job, {
+    let mut rig = Rig::keeping(&[target("one", 16), target("two", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    for number in 1..=2 {
+        let (_, _, key) = rig.starts().remove(0);
+        assert_eq!(key.run, number as u32);
+        rig.pass(10);
+        for (call, _) in rig.holds() {
+            rig.listing(call, &[], &[ended(number, &key, ListedHow::Failed)]);
+        }
+    }
+    assert_eq!(rig.answer_to(1), Some(&Answer::Failed));
+});
+
+case!(what_a_peer_may_have_started_is_not_refused_as_not_run, {
+    let mut rig = Rig::new();
+    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    rig.event(Event::HostsRead(vec![peer_info()]));
+    rig.pass(50);
+    rig.answer_beats(16_000);
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 2_000);
+    let asked = rig.requests(|request| matches!(request, Request::Place(_)));
+    assert_eq!(asked.len(), 1);
+    rig.event(Event::PeerReply {
+        call: asked[0].0,
+        reply: Err(SendFailure::Unknown),
+    });
+    for _ in 0..250 {
+        rig.pass(10);
+        rig.answer_beats(0);
+    }
+    let answer = rig.answer_to(1).expect("the job has its final answer");
+    assert!(!matches!(answer, Answer::Refused { .. }), "{answer:?}");
+});
+
+case!(
+    a_job_that_finds_no_room_is_refused_with_when_to_come_back,
+    {
+        let mut rig = Rig::keeping(&[target("near", 16)]);
+        rig.submit(1, ID, vec![step(2, 8_000, 3_000)], 9_000);
+        let running: Vec<_> = rig.starts().into_iter().map(|(_, _, key)| key).collect();
+        rig.submit(2, "00000000000000aa", vec![step(1, 8_000, 60)], 2_000);
+        for _ in 0..95 {
+            rig.pass(10);
+            for (call, _) in rig.holds() {
+                rig.listing(call, &running, &[]);
+            }
+        }
+        let answer = rig.answer_to(2).expect("refused before half of its time");
+        assert!(matches!(answer, Answer::Refused { retry_after_ms } if *retry_after_ms > 0));
+    }
+);
+
+case!(a_job_that_no_target_could_run_is_refused_at_once, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(1, 30_000, 60)], 3_000);
+    assert!(matches!(rig.answer_to(1), Some(Answer::Refused { .. })));
+});
+
+case!(a_caller_that_leaves_has_its_runs_ended, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(2, 7_000, 600)], 3_000);
+    let starts = rig.starts();
+    for (call, _, _) in &starts {
+        let clock = rig.now + 500_000;
+        rig.target_reply(*call, gannetridge_dispatch::TargetReply::Done { clock });
+    }
+    rig.event(Event::CallerGone {
+        token: gannetridge_dispatch::Token(1),
+    });
+    assert_eq!(rig.stops().len(), 2);
+    assert!(rig.answers.is_empty());
+});
+
+case!(a_job_that_comes_again_is_one_job, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    rig.submit(2, ID, vec![step(1, 7_000, 60)], 3_000);
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1);
+    rig.pass(10);
+    let (call, _) = rig.holds().remove(0);
+    rig.listing(call, &[], &[ended(1, &starts[0].2, ListedHow::Done)]);
+    rig.submit(3, ID, vec![step(1, 7_000, 60)], 3_000);
+    assert!(rig.starts().is_empty());
+    for token in 1..=3 {
+        assert_eq!(rig.answer_to(token), Some(&Answer::Completed));
+    }
+});
