Let begun jobs go first, and give up what is worth nothing any more

Cause: under overload tasks of begun jobs waited behind newcomers, so that much of what ran was for nothing, and jobs were run whose answer came later than three times their aim, when it no longer counts. Change: urgency has four ranks: begun, in aim, late, worthless. Worthless tasks are not started, jobs that can't end end when nothing of them runs. A started host waits 250 ms for news instead of 700.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -26,7 +26,7 @@
 const IDLE_TICK_MS: Millis = 50;
 /// After its start a host waits this long for news of others before it takes
 /// targets.
-const SETTLE_MS: Millis = 700;
+const SETTLE_MS: Millis = 250;
 /// How long a peer's reply is awaited.
 const PEER_WAIT_MS: Millis = 300;
 /// How long a reply to a request is awaited that may be sent again.
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -6,7 +6,7 @@
 
 use crate::action::{Action, Answer};
 use crate::event::{Submit, Token};
-use crate::message::{End, RunEnd, RunKey, TaskOrder, Urge, Want};
+use crate::message::{End, Rank, RunEnd, RunKey, TaskOrder, Urge, Want};
 use crate::note::{Cause, Note};
 use crate::queues::Queue;
 use crate::spec::{JobSpec, Room};
@@ -79,17 +79,19 @@
         let estimate = self.spec.steps[step].estimate_ms as i64;
         let since = now.saturating_sub(self.taken) as i64;
         let slack = self.aim_ms as i64 - estimate - since;
-        if slack >= 0 {
-            return Urge {
-                rank: 0,
-                slack_ms: slack,
-            };
-        }
-        let late = (self.aim_ms * LATE_FACTOR) as i64 - estimate - since;
-        Urge {
-            rank: if late >= 0 { 1 } else { 2 },
-            slack_ms: late,
-        }
+        let late_slack = self.worth_ms() as i64 - estimate - since;
+        let (rank, slack_ms) = match (self.begun, slack >= 0, late_slack >= 0) {
+            (_, _, false) => (Rank::Worthless, late_slack),
+            (true, _, _) => (Rank::Begun, slack),
+            (false, true, _) => (Rank::InAim, slack),
+            (false, false, _) => (Rank::Late, late_slack),
+        };
+        Urge { rank, slack_ms }
+    }
+
+    /// Returns for how long an answer is worth something.
+    fn worth_ms(&self) -> Millis {
+        self.aim_ms * LATE_FACTOR
     }
 
     /// Tells whether a task may have begun: only where none can have, the job
@@ -282,11 +284,12 @@
         let mut waiting = Vec::new();
         for (id, job) in &self.jobs {
             for (index, task) in job.tasks.iter().enumerate() {
-                if task.state == TaskState::Waiting {
+                let urge = job.urge(now, task.step);
+                if task.state == TaskState::Waiting && urge.rank != Rank::Worthless {
                     waiting.push(WaitingTask {
                         job: id.clone(),
                         index,
-                        urge: job.urge(now, task.step),
+                        urge,
                     });
                 }
             }
@@ -552,17 +555,29 @@
 /// Tells why a job has to end now, if it has.
 fn due_end(now: Millis, job: &Job) -> Option<Cause> {
     let wait = (job.deadline - job.taken) as f64;
-    if !job.may_have_begun() && now >= job.taken + (wait * WAIT_SHARE) as Millis {
-        return Some(Cause::NoRoom);
+    let waited_enough = now >= job.taken + (wait * WAIT_SHARE) as Millis;
+    let mut open = job
+        .tasks
+        .iter()
+        .filter(|task| task.state != TaskState::Done);
+    if !job.may_have_begun() {
+        let worthless = open.any(|task| job.urge(now, task.step).rank == Rank::Worthless);
+        return (waited_enough || worthless).then_some(Cause::NoRoom);
     }
-    let left = job.tasks.iter().filter_map(|task| match task.state {
-        TaskState::Waiting | TaskState::Lost(_) | TaskState::Blocked => {
-            Some(job.spec.steps[task.step].estimate_ms)
-        }
-        _ => None,
+    if now >= job.deadline {
+        return Some(Cause::Deadline);
+    }
+    // What runs is let run: breaking it off would gain nothing.
+    let runs = job
+        .tasks
+        .iter()
+        .any(|task| matches!(task.state, TaskState::Runs(_) | TaskState::Asked(_)));
+    let hopeless = open.any(|task| {
+        let estimate = job.spec.steps[task.step].estimate_ms as f64 * ESTIMATE_FLOOR;
+        let end = now + estimate as Millis;
+        end >= job.deadline || end >= job.taken + job.worth_ms()
     });
-    let least = left.max().unwrap_or(0) as f64 * ESTIMATE_FLOOR;
-    (now + least as Millis >= job.deadline).then_some(Cause::Deadline)
+    (hopeless && !runs).then_some(Cause::Deadline)
 }
 
 /// Sums up the tasks that found no room.
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -76,12 +76,24 @@
     pub avoid: Vec<Name>,
 }
 
+/// What decides first between waiting tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Rank {
+    /// Others of its job run or are done: without it they were for nothing.
+    Begun,
+    /// Its job's aim can be met.
+    InAim,
+    /// Its job will be late, and is still worth something.
+    Late,
+    /// An answer would be worth nothing any more.
+    Worthless,
+}
+
 /// How urgent the most urgent of some waiting tasks is; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Urge {
-    /// 0 while the job's aim can be met, 1 while an answer is still worth
-    /// something, 2 after that.
-    pub rank: u8,
+    /// Goes first; see [`Rank`].
+    pub rank: Rank,
     /// Until the latest start that keeps the rank, in ms from now.
     pub slack_ms: i64,
 }
