Drive the dispatcher in seeded runs with faults of every kind

crates/dispatch-lab: hosts with clocks of their own, targets with one token, one hold and one list of ends, callers that leave and come again, faults drawn by seed; the checks see only what callers and targets see.

--- /dev/null
+++ b/crates/dispatch-lab/src/scenario.rs
@@ -0,0 +1,78 @@
+//! One seeded run.
+
+use std::collections::BTreeMap;
+
+use gannetridge_dispatch::{Bounds, Millis};
+
+use crate::checks::Violation;
+use crate::world::World;
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// The seed.
+    pub seed: u64,
+    /// How long callers come and faults strike.
+    pub load_ms: Millis,
+    /// Halls.
+    pub halls: usize,
+    /// Hosts in each hall.
+    pub hosts: usize,
+    /// Targets in each hall.
+    pub targets: usize,
+    /// Jobs a second.
+    pub jobs_per_s: f64,
+    /// The mean pause between faults, none if 0.
+    pub fault_gap_ms: Millis,
+    /// Whether targets reject what doesn't fit.
+    pub guards: bool,
+    /// The deployment's bounds.
+    pub bounds: Bounds,
+}
+
+impl Scenario {
+    /// A small deployment under faults of every kind.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            load_ms: 40_000,
+            halls: 3,
+            hosts: 2,
+            targets: 4,
+            jobs_per_s: 30.0,
+            fault_gap_ms: 1_500,
+            guards: seed.is_multiple_of(2),
+            bounds: Bounds {
+                retransmit_ms: 1_300,
+                max_hold_ms: 1_000,
+                stop_grace_ms: 50,
+                grace_period_ms: 6_000,
+                drain_ms: 2_000,
+            },
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Events that hosts took in.
+    pub events: u64,
+    /// Starts that targets carried out.
+    pub starts: u64,
+    /// Jobs.
+    pub jobs: u64,
+    /// Final answers, by kind.
+    pub answers: BTreeMap<&'static str, u64>,
+    /// Faults, by kind.
+    pub faults: BTreeMap<&'static str, u64>,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+}
+
+/// Runs a scenario to its end.
+#[must_use]
+pub fn run(scenario: &Scenario) -> Outcome {
+    World::new(scenario).run()
+}
--- /dev/null
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -0,0 +1,75 @@
+//! `gannetridge-lab dispatch`: randomised runs of the dispatcher.
+
+use std::collections::BTreeMap;
+
+use anyhow::bail;
+use gannetridge_dispatch_lab::{run as play, Outcome, Scenario};
+use gannetridge_lab::parallel::map;
+use gumdrop::Options;
+
+/// Options of `dispatch`.
+#[derive(Debug, Options)]
+pub struct Dispatch {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the first seed", default = "1", meta = "N")]
+    seed: u64,
+    #[options(no_short, help = "how many seeds", default = "1", meta = "N")]
+    seeds: u64,
+    #[options(
+        no_short,
+        help = "how long jobs and faults come, in ms",
+        default = "40000",
+        meta = "N"
+    )]
+    load_ms: u64,
+}
+
+/// Runs the seeds and prints what came of them. Fails on any violation.
+pub fn run(options: &Dispatch) -> anyhow::Result<()> {
+    let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
+    let load_ms = options.load_ms;
+    let outcomes = map(&seeds, |seed| {
+        play(&Scenario {
+            load_ms,
+            ..Scenario::new(*seed)
+        })
+    });
+    let mut sum = Outcome::default();
+    let mut rules: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut bad = Vec::new();
+    for (seed, outcome) in seeds.iter().zip(&outcomes) {
+        sum.events += outcome.events;
+        sum.starts += outcome.starts;
+        sum.jobs += outcome.jobs;
+        add(&mut sum.answers, &outcome.answers);
+        add(&mut sum.faults, &outcome.faults);
+        for violation in &outcome.violations {
+            *rules.entry(violation.rule).or_default() += 1;
+        }
+        if let Some(first) = outcome.violations.first() {
+            println!("seed {seed}: {first:?}");
+            bad.push(*seed);
+        }
+    }
+    println!(
+        "seeds {}, events {}, starts {}, jobs {}",
+        seeds.len(),
+        sum.events,
+        sum.starts,
+        sum.jobs
+    );
+    println!("answers: {:?}", sum.answers);
+    println!("faults: {:?}", sum.faults);
+    println!("violations: {rules:?}");
+    if !bad.is_empty() {
+        bail!("promises broken with seeds {bad:?}");
+    }
+    Ok(())
+}
+
+fn add(sum: &mut BTreeMap<&'static str, u64>, part: &BTreeMap<&'static str, u64>) {
+    for (key, count) in part {
+        *sum.entry(key).or_default() += count;
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -21,6 +21,9 @@
     /// Randomised runs with every fault.
     #[options(help = "randomised runs with every fault")]
     Chaos(cmd::chaos::Chaos),
+    /// Randomised runs of the dispatcher.
+    #[options(help = "randomised runs of the dispatcher with every fault")]
+    Dispatch(cmd::dispatch::Dispatch),
     /// Measures the policy.
     #[options(help = "measure the policy under load and faults")]
     Experiment(cmd::experiment::Experiment),
@@ -49,6 +52,7 @@
             Ok(())
         }
         Some(Command::Chaos(options)) => cmd::chaos::run(&options),
+        Some(Command::Dispatch(options)) => cmd::dispatch::run(&options),
         Some(Command::Experiment(options)) => cmd::experiment::run(&options),
         Some(Command::Loopback(options)) => cmd::loopback::run(&options),
         Some(Command::Bench(_)) => cmd::bench::run(),
