--- a/crates/dispatch-lab/src/scenario.rs
+++ b/crates/dispatch-lab/src/scenario.rs
@@ -26,6 +26,8 @@
     pub fault_gap_ms: Millis,
     /// Whether targets reject what doesn't fit.
     pub guards: bool,
+    /// Whether hosts' notes and faults are printed.
+    pub verbose: bool,
     /// The deployment's bounds.
     pub bounds: Bounds,
 }
@@ -43,6 +45,7 @@
             jobs_per_s: 30.0,
             fault_gap_ms: 1_500,
             guards: seed.is_multiple_of(2),
+            verbose: false,
             bounds: Bounds {
                 retransmit_ms: 1_300,
                 max_hold_ms: 1_000,
--- a/crates/dispatch-lab/src/target.rs
+++ b/crates/dispatch-lab/src/target.rs
@@ -5,8 +5,8 @@
 
 use gannetridge_dispatch::event::{ListedEnd, ListedHow, TargetEntry, TargetReply};
 use gannetridge_dispatch::message::RunKey;
-use gannetridge_dispatch::{Millis, RunOrder};
 use gannetridge_dispatch::spec::Room;
+use gannetridge_dispatch::{Millis, RunOrder};
 use gannetridge_wire::Name;
 
 /// How a target misbehaves.
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -148,9 +148,12 @@
 /// The jobs of the callers that are connected here.
 #[derive(Default)]
 pub struct Jobs {
-    jobs: HashMap<Name, Job>,
+    jobs: BTreeMap<Name, Job>,
     by_token: HashMap<Token, Name>,
     ended: BTreeMap<Name, (Answer, Millis)>,
+    /// The first runs of jobs that may come again, above all earlier ones:
+    /// what is still told of those can't be taken for news of these.
+    next_runs: BTreeMap<Name, (u32, Millis)>,
     /// Runs that are to be ended, with the peer that has them.
     pub stops: Vec<(Option<Name>, RunKey)>,
     /// What to do.
@@ -220,13 +223,14 @@
         }
         let wait = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let aim_ms = queue.aim(Job::chain_ms(&submit.spec));
+        let run = self.next_runs.get(&id).map_or(1, |(run, _)| *run);
         let mut tasks = Vec::new();
         for (step, spec) in submit.spec.steps.iter().enumerate() {
             for _ in 0..spec.count {
                 tasks.push(Task {
                     step,
                     state: TaskState::Blocked,
-                    run: 1,
+                    run,
                     failures: 0,
                     avoid: Vec::new(),
                 });
@@ -454,6 +458,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Millis) {
         self.ended.retain(|_, (_, until)| *until > now);
+        self.next_runs.retain(|_, (_, until)| *until > now);
         let mut ends = Vec::new();
         for (id, job) in &mut self.jobs {
             for task in &mut job.tasks {
@@ -508,6 +513,9 @@
         }
         if matches!(answer, Answer::Completed | Answer::Cancelled) {
             self.remember(id, answer, now + REMEMBER_MS);
+        } else {
+            let last = job.tasks.iter().map(|task| task.run).max();
+            self.remember_run(id, last.unwrap_or(0) + 1, now + REMEMBER_MS);
         }
         self.out.push(Action::Note(Note::JobEnded {
             job: id.clone(),
@@ -538,6 +546,13 @@
         }
     }
 
+    fn remember_run(&mut self, id: &Name, next: u32, until: Millis) {
+        if self.next_runs.len() >= MAX_REMEMBERED {
+            self.next_runs.pop_first();
+        }
+        self.next_runs.insert(id.clone(), (next, until));
+    }
+
     fn remember(&mut self, id: &Name, answer: Answer, until: Millis) {
         if self.ended.len() >= MAX_REMEMBERED {
             self.ended.pop_first();
--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -43,6 +43,14 @@
 /// The part of a token that tells hosts apart; tokens stay below 2^53.
 const UNIQUE: u64 = 1 << 13;
 
+/// A call that is on its way to a target.
+#[derive(Clone, Debug)]
+struct Sent {
+    /// The token that it carries.
+    fence: u64,
+    purpose: Purpose,
+}
+
 /// What a call to a target was for.
 #[derive(Clone, Debug)]
 enum Purpose {
@@ -60,7 +68,7 @@
     targets: BTreeMap<Name, Target>,
     /// The targets that this host looks after or is taking.
     ours: BTreeSet<Name>,
-    calls: HashMap<CallId, Purpose>,
+    calls: HashMap<CallId, Sent>,
     /// Targets that another host should have, and since when.
     surplus: HashMap<Name, Millis>,
     last_fence: u64,
@@ -159,7 +167,8 @@
 
     /// Starts a task if there is room for it.
     pub fn place(&mut self, now: Millis, owner: &Name, session: u64, order: &TaskOrder) -> bool {
-        if self.ended_early.contains_key(&order.key) {
+        let there = self.targets.values().any(|t| t.has_task(&order.key.task));
+        if there || self.ended_early.contains_key(&order.key) {
             return false;
         }
         let open = self.our_targets();
@@ -199,15 +208,16 @@
         self.last_call += 1;
         let call = CallId(self.last_call);
         let target = &self.targets[id];
+        let fence = target.fence;
         self.out.push(Action::Target {
             call,
             id: id.clone(),
             address: target.entry.address.clone(),
-            fence: target.fence,
+            fence,
             order,
             wait_ms,
         });
-        self.calls.insert(call, purpose);
+        self.calls.insert(call, Sent { fence, purpose });
         call
     }
 
@@ -453,13 +463,15 @@
 
     /// Takes a target's reply in, or that there is none.
     pub fn replied(&mut self, now: Millis, call: CallId, reply: Result<TargetReply, SendFailure>) {
-        let Some(purpose) = self.calls.remove(&call) else {
+        let Some(Sent { fence, purpose }) = self.calls.remove(&call) else {
             return;
         };
         match purpose {
             Purpose::Hold { target, asked } => self.held(now, call, &target, asked, reply),
-            Purpose::Start { target, key } => self.started(now, &target, &key, reply),
-            Purpose::Stop { target, key } => self.stopped(now, call, &target, &key, reply),
+            Purpose::Start { target, key } => self.started(now, fence, &target, &key, reply),
+            Purpose::Stop { target, key } => {
+                self.stopped(now, call, fence, &target, &key, reply);
+            }
         }
     }
 
@@ -500,7 +512,7 @@
                 }
                 self.reports.extend(reports);
             }
-            Ok(TargetReply::Fenced { .. }) => self.fenced(now, id),
+            Ok(TargetReply::Fenced { .. }) => self.fenced(now, id, self.targets[id].fence),
             Ok(TargetReply::OtherLife) => self.life_over(now, id),
             Ok(_) => {
                 // It answers, if not to the point: a look later shows more.
@@ -526,12 +538,15 @@
         }
     }
 
-    /// Another host has taken the target.
-    fn fenced(&mut self, now: Millis, id: &Name) {
+    /// Another host has taken the target, if the call had the present token.
+    fn fenced(&mut self, now: Millis, id: &Name, sent: u64) {
         let fence = self.next_fence(now);
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        if sent != target.fence || target.stage == Stage::Elsewhere {
+            return;
+        }
         let settled = target.stage == Stage::Kept && target.kept_since + SETTLED_MS <= now;
         if settled && !self.surplus.contains_key(id) {
             target.take(now, fence);
@@ -562,6 +577,7 @@
     fn started(
         &mut self,
         now: Millis,
+        fence: u64,
         id: &Name,
         key: &RunKey,
         reply: Result<TargetReply, SendFailure>,
@@ -595,7 +611,7 @@
             Ok(TargetReply::Fenced { .. }) => {
                 let report = target.end(now, key, End::Lost, "fenced");
                 self.reports.extend(report);
-                self.fenced(now, id);
+                self.fenced(now, id, fence);
                 return;
             }
             Ok(TargetReply::OtherLife) => {
@@ -622,6 +638,7 @@
         &mut self,
         now: Millis,
         call: CallId,
+        fence: u64,
         id: &Name,
         key: &RunKey,
         reply: Result<TargetReply, SendFailure>,
@@ -635,7 +652,10 @@
                 target.stop_replied(now, key, call, true);
                 target.next_hold = target.next_hold.min(now);
             }
-            Ok(TargetReply::Fenced { .. }) => self.fenced(now, id),
+            Ok(TargetReply::Fenced { .. }) => {
+                target.stop_replied(now, key, call, false);
+                self.fenced(now, id, fence);
+            }
             Ok(TargetReply::OtherLife) => self.life_over(now, id),
             Ok(_) => target.stop_replied(now, key, call, false),
             Err(_) => {
@@ -716,9 +736,9 @@
     fn send_hold(&mut self, now: Millis, id: &Name) {
         let times = self.times;
         let target = self.targets.get_mut(id).expect("the target was found");
-        // What a newcomer finds is nobody's: it isn't held on.
-        let extends = target.stage == Stage::Kept || !target.runs.is_empty();
-        let until = if extends && !target.runs.is_empty() {
+        // What a newcomer finds is nobody's: it isn't held on. Nor are runs of
+        // its own as long as it doesn't know what others run beside them.
+        let until = if target.stage == Stage::Kept && !target.runs.is_empty() {
             target.extend(now, &times)
         } else {
             None
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -164,6 +164,9 @@
         self.stage = Stage::Taking;
         self.fence = fence;
         self.next_hold = now;
+        // A call that went out before tells nothing of what came since.
+        self.holding = None;
+        self.offered = None;
     }
 
     /// Gives it up; what ran there is reported as lost once it is over.
@@ -197,6 +200,17 @@
             && (self.failures < FAILURES_TO_SUSPEND || self.runs.is_empty())
     }
 
+    /// Tells whether a run of a task is in the books.
+    #[must_use]
+    pub fn has_task(&self, task: &Name) -> bool {
+        let first = RunKey {
+            task: task.clone(),
+            run: 0,
+        };
+        let next = self.runs.range(first..).next();
+        next.is_some_and(|(key, _)| key.task == *task)
+    }
+
     /// Tells whether the free room is kept for another host than `owner`.
     #[must_use]
     pub fn is_offered_to_others(&self, now: Millis, owner: &Name) -> bool {
@@ -386,8 +400,9 @@
             }
         }
         let over = self.runs.iter().filter(|(key, run)| {
-            let stopped = matches!(run.stop, StopStage::Taken(at) if at <= asked);
-            let begun = run.taken.is_some_and(|at| at <= asked);
+            // What came in the same millisecond may have come after.
+            let stopped = matches!(run.stop, StopStage::Taken(at) if at < asked);
+            let begun = run.taken.is_some_and(|at| at < asked);
             let too_late = run.begins_before < asked;
             (stopped || begun || too_late) && !running.contains(key)
         });
--- a/crates/dispatch/tests/answers.rs
+++ b/crates/dispatch/tests/answers.rs
@@ -123,3 +123,27 @@
         assert_eq!(rig.answer_to(token), Some(&Answer::Completed));
     }
 });
+
+case!(a_job_that_comes_again_unfinished_has_runs_of_its_own, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 900)], 2_000);
+    let first = rig.starts().remove(0).2;
+    rig.event(Event::CallerGone {
+        token: gannetridge_dispatch::Token(1),
+    });
+    rig.pass(1_300);
+    rig.submit(2, ID, vec![step(1, 7_000, 900)], 2_000);
+    rig.event(Event::TargetsChanged(vec![
+        gannetridge_dispatch::event::TargetChange::There(target("other", 16)),
+    ]));
+    rig.pass(50);
+    for (call, _) in rig.holds() {
+        rig.listing(call, &[], &[]);
+    }
+    let starts = rig.starts();
+    assert!(!starts.is_empty());
+    assert!(
+        starts.iter().all(|(_, _, key)| key.run > first.run),
+        "{starts:?}"
+    );
+});
--- /dev/null
+++ b/crates/dispatch/tests/keeping.rs
@@ -0,0 +1,166 @@
+//! Targets that a host looks after.
+
+mod support;
+
+use gannetridge_dispatch::event::{ListedHow, SendFailure, TargetChange};
+use gannetridge_dispatch::{Event, TargetReply};
+use support::{case, ended, step, target, Rig};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+fn started(rig: &mut Rig, id: &str) -> gannetridge_dispatch::message::RunKey {
+    rig.submit(1, id, vec![step(1, 7_000, 300)], 3_000);
+    let (call, _, key) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Done { clock });
+    key
+}
+
+case!(
+    a_newcomer_starts_nothing_beside_runs_that_it_does_not_know,
+    {
+        let mut rig = Rig::new();
+        rig.event(Event::TargetsRead(vec![target("near", 16)]));
+        rig.pass(1_000);
+        let (call, until) = rig.holds().remove(0);
+        assert_eq!(until, None, "nobody vouches for what it finds");
+        let unknown = gannetridge_dispatch::message::RunKey {
+            task: "00000000000000aa.0.0.0".into(),
+            run: 1,
+        };
+        rig.listing(call, std::slice::from_ref(&unknown), &[]);
+        rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+        assert!(rig.starts().is_empty());
+        rig.pass(50);
+        let (call, until) = rig.holds().remove(0);
+        assert_eq!(until, None);
+        rig.listing(call, &[], &[ended(1, &unknown, ListedHow::Ended)]);
+        assert_eq!(rig.starts().len(), 1);
+    }
+);
+
+case!(a_listing_asked_for_before_a_start_says_nothing_of_it, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    let key = started(&mut rig, ID);
+    // Asked for in the same millisecond in which the start was taken.
+    let (call, _) = rig.holds().remove(0);
+    rig.now += 1;
+    rig.listing(call, &[], &[]);
+    assert!(rig.starts().is_empty(), "the run isn't over");
+    let (call, _) = rig.holds().remove(0);
+    rig.now += 50;
+    rig.listing(call, &[], &[ended(1, &key, ListedHow::Done)]);
+    assert!(rig.answer_to(1).is_some());
+});
+
+case!(a_target_taken_back_is_not_held_on_before_it_is_known, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.pass(3_100);
+    for (call, _) in rig.holds() {
+        rig.listing(call, &[], &[]);
+    }
+    let key = started(&mut rig, ID);
+    let (old, _) = rig.holds().remove(0);
+    let clock = rig.now + 500_000;
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 300)], 3_000);
+    let (start, _, _) = rig.starts().remove(0);
+    rig.target_reply(start, TargetReply::Fenced { clock });
+    let (taking, until) = rig.holds().remove(0);
+    assert_eq!(until, None, "another may have started something there");
+    // A listing from before the other host took it tells nothing.
+    rig.listing(old, std::slice::from_ref(&key), &[]);
+    let other = gannetridge_dispatch::message::RunKey {
+        task: "00000000000000aa.0.0.0".into(),
+        run: 1,
+    };
+    rig.submit(3, "00000000000000cc", vec![step(1, 7_000, 300)], 3_000);
+    assert!(rig.starts().is_empty());
+    rig.listing(taking, &[key.clone(), other], &[]);
+    assert!(rig.starts().is_empty(), "the other's run goes on");
+});
+
+case!(
+    a_start_without_reply_is_stopped_and_tried_elsewhere_once_over,
+    {
+        let mut rig = Rig::keeping(&[target("one", 16), target("two", 16)]);
+        rig.submit(1, ID, vec![step(1, 7_000, 600)], 4_000);
+        let (call, first, key) = rig.starts().remove(0);
+        rig.pass(200);
+        rig.event(Event::TargetReply {
+            call,
+            reply: Err(SendFailure::Unknown),
+        });
+        assert!(rig.starts().is_empty(), "it may have begun");
+        assert_eq!(rig.stops(), vec![key]);
+        rig.pass(800);
+        for (call, _) in rig.holds() {
+            rig.listing(call, &[], &[]);
+        }
+        rig.pass(20);
+        let starts = rig.starts();
+        assert!(starts
+            .iter()
+            .all(|(_, target, key)| *target != first && key.run == 2));
+        assert_eq!(starts.len(), 1);
+    }
+);
+
+case!(a_leaving_target_gets_no_new_work, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    let mut leaving = target("near", 16);
+    leaving.leaving = true;
+    rig.event(Event::TargetsChanged(vec![TargetChange::There(leaving)]));
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    rig.pass(200);
+    assert!(rig.starts().is_empty());
+});
+
+case!(a_target_that_fails_all_is_left_alone, {
+    let mut rig = Rig::keeping(&[target("one", 24), target("two", 16)]);
+    // Two failures in a row on one target, of different jobs.
+    let mut bad = String::new();
+    for (number, id) in ["00000000000000a1", "00000000000000a2"].iter().enumerate() {
+        rig.submit(number as u64, id, vec![step(1, 4_000, 300)], 3_000);
+        let (call, on, key) = rig.starts().remove(0);
+        bad = on;
+        let clock = rig.now + 500_000;
+        rig.target_reply(call, TargetReply::Done { clock });
+        rig.now += 10;
+        let targets: Vec<_> = rig.calls.drain(..).collect();
+        for called in targets {
+            let ends = if called.target == bad {
+                vec![ended(number as u64 + 1, &key, ListedHow::Failed)]
+            } else {
+                Vec::new()
+            };
+            rig.listing(called.call, &[], &ends);
+        }
+        rig.event(Event::CallerGone {
+            token: gannetridge_dispatch::Token(number as u64),
+        });
+        rig.starts();
+    }
+    rig.submit(9, ID, vec![step(1, 4_000, 300)], 3_000);
+    let starts = rig.starts();
+    assert!(
+        starts.iter().all(|(_, on, _)| *on != bad),
+        "{bad} {starts:?}"
+    );
+    assert_eq!(starts.len(), 1);
+});
+
+case!(targets_whose_entries_lapse_with_the_store_are_used_on, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.event(Event::StoreReachable(false));
+    rig.pass(1_000);
+    rig.event(Event::StoreReachable(true));
+    rig.event(Event::TargetsRead(Vec::new()));
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    assert_eq!(rig.starts().len(), 1);
+    rig.pass(2_100);
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 60)], 3_000);
+    assert!(
+        rig.starts().is_empty(),
+        "gone, two seconds after the return"
+    );
+});
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -23,15 +23,18 @@
         meta = "N"
     )]
     load_ms: u64,
+    #[options(no_short, help = "print what hosts note and which faults strike")]
+    verbose: bool,
 }
 
 /// Runs the seeds and prints what came of them. Fails on any violation.
 pub fn run(options: &Dispatch) -> anyhow::Result<()> {
     let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
-    let load_ms = options.load_ms;
+    let (load_ms, verbose) = (options.load_ms, options.verbose);
     let outcomes = map(&seeds, |seed| {
         play(&Scenario {
             load_ms,
+            verbose,
             ..Scenario::new(*seed)
         })
     });
