--- a/crates/dispatch-lab/src/world.rs
+++ b/crates/dispatch-lab/src/world.rs
@@ -118,7 +118,7 @@
     Over(Fault),
     Restart(usize),
     NewTarget(usize),
-    Lapse(usize, Name),
+    Lapse(Name),
     ReadAgain(usize),
 }
 
@@ -372,7 +372,7 @@
             Happening::Over(fault) => self.over(fault),
             Happening::Restart(host) => self.restart(host),
             Happening::NewTarget(target) => self.replace_target(target),
-            Happening::Lapse(_, id) => self.news(vec![TargetChange::Gone(id)]),
+            Happening::Lapse(id) => self.news(vec![TargetChange::Gone(id)]),
             Happening::ReadAgain(host) => {
                 if self.store_out == 0 {
                     self.tell(host, 1, Event::TargetsRead(self.list()));
@@ -1005,7 +1005,7 @@
             let how = gannetridge_dispatch::event::ListedHow::Ended;
             self.checks.ended(&id, &key, how);
         }
-        self.at(self.now + LAPSE_MS, Happening::Lapse(index, id));
+        self.at(self.now + LAPSE_MS, Happening::Lapse(id));
         self.at(self.now + length, Happening::NewTarget(index));
     }
 
