Look only at what may fit, and don't leave targets idle after a token was too low

Under a burst each event sorted all waiting tasks and worded their orders, so hosts fell behind their own heartbeats, were taken for silent, and targets changed hands (33 runs ended by their hold, 19 targets given up within one second). A host whose clock was behind the last keeper's took targets with too low a token and then left them alone for 5 s, as did the other, so that a fifth of the targets stood idle. Ruled out: node_cut (it cuts from the store only), the store's troubles. Change: jobs are kept in the order of their urgency; tasks that fit nowhere are passed over before their order is worded; the share of targets is reckoned when hosts or targets change. A token that was too low is raised at once; a lost target is left alone for 1 s, doubling with each loss.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -34,7 +34,7 @@
 /// Between wants that tell the same.
 const WANT_PAUSE_MS: Millis = 100;
 /// The most waiting tasks that are looked at in one go.
-const MAX_LOOKED_AT: usize = 256;
+const MAX_LOOKED_AT: usize = 64;
 /// A stopping host takes jobs for this part of its grace period.
 const TAKES_SHARE: f64 = 0.4;
 /// A stopping host stays at least for this part of its grace period, since
@@ -250,12 +250,8 @@
         if self.keeper.counts().0 == 0 {
             return;
         }
-        let waiting = self.jobs.waiting(now);
-        let mut ours = waiting.iter().filter(|task| task.job == *id);
-        let too_large = ours.any(|task| {
-            let order = self.jobs.order(id, task.index);
-            !self.keeper.could_run(&order)
-        });
+        let mut steps = self.jobs.samples(id).into_iter();
+        let too_large = steps.any(|order| !self.keeper.could_run(&order));
         if too_large {
             self.jobs.too_large(now, id);
         }
@@ -487,12 +483,11 @@
     fn offered(&mut self, now: Millis, name: &Name, free: FreeRoom) -> ReplyBody {
         let mut room = free.room;
         let mut orders = Vec::new();
-        for task in self.jobs.waiting(now).into_iter().take(MAX_LOOKED_AT) {
-            let order = self.jobs.order(&task.job, task.index);
-            if order.pool == free.pool && room.fits(&order.room) {
-                room = room.less(&order.room);
-                self.jobs.asked(&task.job, task.index, name);
-                orders.push(order);
+        for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
+            if room.fits(&task.room) && *self.jobs.pool(&task.job) == free.pool {
+                room = room.less(&task.room);
+                orders.push(self.jobs.order(&task.job, task.index));
+                self.jobs.asked(now, &task.job, task.index, name);
             }
         }
         let interested = !orders.is_empty();
@@ -606,7 +601,7 @@
                 }
             }
             Purpose::Seed | Purpose::Want => {}
-            Purpose::Place(keys) => self.place_replied(name, &keys, reply),
+            Purpose::Place(keys) => self.place_replied(now, name, &keys, reply),
             Purpose::Offer => {
                 let interested = matches!(
                     reply,
@@ -637,7 +632,13 @@
         }
     }
 
-    fn place_replied(&mut self, name: &Name, keys: &[RunKey], reply: Result<Reply, SendFailure>) {
+    fn place_replied(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        keys: &[RunKey],
+        reply: Result<Reply, SendFailure>,
+    ) {
         let taken = match reply {
             Ok(Reply {
                 body: ReplyBody::Placed(taken),
@@ -655,7 +656,7 @@
         };
         for (index, key) in keys.iter().enumerate() {
             let taken = taken.contains(&(index as u32));
-            self.jobs.placed(key, name, taken);
+            self.jobs.placed(now, key, name, taken);
         }
     }
 
@@ -739,7 +740,7 @@
     }
 
     fn deliver_reports(&mut self, now: Millis) {
-        for report in std::mem::take(&mut self.keeper.reports) {
+        for report in self.keeper.take_reports() {
             self.out.push(Action::Note(Note::RunEnded {
                 key: report.end.key.clone(),
                 target: report.end.target.clone(),
@@ -775,7 +776,9 @@
     }
 
     fn send_outboxes(&mut self, now: Millis) {
-        let names: Vec<Name> = self.peers.all.keys().cloned().collect();
+        let peers = self.peers.all.iter();
+        let busy = peers.filter(|(_, peer)| !peer.ends.is_empty() || !peer.stops.is_empty());
+        let names: Vec<Name> = busy.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.send_ends(now, &name);
             self.send_stops(now, &name);
@@ -819,21 +822,27 @@
 
     /// Finds room for what waits, here and at peers, the most urgent first.
     fn schedule(&mut self, now: Millis) {
-        let waiting = self.jobs.waiting(now);
-        let mut left: Vec<(Urge, TaskOrder)> = Vec::new();
+        if self.jobs.none_waits() {
+            return self.serve_wants(now, None);
+        }
+        let own = self.own.name.clone();
+        let mut left: Vec<WaitingTask> = Vec::new();
         let mut batches: BTreeMap<Name, Vec<TaskOrder>> = BTreeMap::new();
-        for task in waiting.iter().take(MAX_LOOKED_AT) {
-            self.serve_wants(now, Some(task));
+        for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
+            self.serve_wants(now, Some(&task));
+            let here = self.stopping.is_none() && self.keeper.may_fit(now, &task.room);
+            if !here && !self.peers.may_fit(now, &task.room) {
+                left.push(task);
+                continue;
+            }
             let order = self.jobs.order(&task.job, task.index);
-            let own = self.own.name.clone();
-            let here = self.stopping.is_none() && self.keeper.place(now, &own, 0, &order);
-            if here {
-                self.jobs.started(&task.job, task.index);
+            if here && self.keeper.place(now, &own, 0, &order) {
+                self.jobs.started(now, &task.job, task.index);
             } else if let Some(peer) = self.peers.with_room(now, &order) {
-                self.jobs.asked(&task.job, task.index, &peer);
+                self.jobs.asked(now, &task.job, task.index, &peer);
                 batches.entry(peer).or_default().push(order);
             } else {
-                left.push((task.urge, order));
+                left.push(task);
             }
         }
         self.serve_wants(now, None);
@@ -845,7 +854,8 @@
 
     /// Offers room to peers whose wants are more urgent than a task here.
     fn serve_wants(&mut self, now: Millis, next: Option<&WaitingTask>) {
-        if self.stopping.is_some() {
+        let wanted = self.peers.all.values().any(|peer| peer.want.is_some());
+        if self.stopping.is_some() || !wanted {
             return;
         }
         loop {
@@ -883,8 +893,16 @@
         }
     }
 
-    fn tell_want(&mut self, now: Millis, left: &[(Urge, TaskOrder)]) {
-        let Some(want) = jobs::want(left) else {
+    fn tell_want(&mut self, now: Millis, left: &[WaitingTask]) {
+        let Some(first) = left.first() else {
+            return;
+        };
+        let pool = self.jobs.pool(&first.job).clone();
+        let same_pool = left
+            .iter()
+            .filter(|task| *self.jobs.pool(&task.job) == pool);
+        let same_pool: Vec<WaitingTask> = same_pool.cloned().collect();
+        let Some(want) = jobs::want(&same_pool, &pool) else {
             return;
         };
         let told = self.want.as_ref().is_some_and(|(told, at)| {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -1,6 +1,6 @@
 //! The owner's side: jobs of the callers that are connected here.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use gannetridge_wire::Name;
 
@@ -72,6 +72,8 @@
     /// Whether a task of it was started, or is lost.
     begun: bool,
     starts: u32,
+    /// Where it stands among those with tasks that wait.
+    ready: Option<Ready>,
 }
 
 impl Job {
@@ -134,6 +136,15 @@
     }
 }
 
+/// A job's place in the order of those with tasks that wait.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ready {
+    rank: Rank,
+    /// The latest start that keeps the rank.
+    latest: i64,
+    job: Name,
+}
+
 /// A task that waits, and how urgently.
 #[derive(Clone, Debug)]
 pub struct WaitingTask {
@@ -143,6 +154,8 @@
     pub index: usize,
     /// How urgent it is.
     pub urge: Urge,
+    /// What it takes.
+    pub room: Room,
 }
 
 /// The jobs of the callers that are connected here.
@@ -150,6 +163,10 @@
 pub struct Jobs {
     jobs: BTreeMap<Name, Job>,
     by_token: HashMap<Token, Name>,
+    /// Jobs with tasks that wait, the most urgent first. Within a rank the
+    /// order doesn't change with the time; ranks are looked at again with
+    /// each tick.
+    ready: BTreeSet<Ready>,
     ended: BTreeMap<Name, (Answer, Millis)>,
     /// The first runs of jobs that may come again, above all earlier ones:
     /// what is still told of those can't be taken for news of these.
@@ -254,10 +271,12 @@
             tasks,
             begun: false,
             starts: 0,
+            ready: None,
         };
         job.unblock();
         self.by_token.insert(token, id.clone());
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.rank(now, &id);
     }
 
     /// The caller of a request is gone; its job ends unless others wait.
@@ -282,31 +301,64 @@
         self.ended.contains_key(id)
     }
 
-    /// Returns the tasks that wait, the most urgent first.
+    /// Tells whether no task waits.
+    #[must_use]
+    pub fn none_waits(&self) -> bool {
+        self.ready.is_empty()
+    }
+
+    /// Returns tasks that wait, the most urgent first, `most` at most.
     #[must_use]
-    pub fn waiting(&self, now: Millis) -> Vec<WaitingTask> {
+    pub fn waiting(&self, now: Millis, most: usize) -> Vec<WaitingTask> {
         let mut waiting = Vec::new();
-        for (id, job) in &self.jobs {
+        for ready in &self.ready {
+            let job = &self.jobs[&ready.job];
+            let urge = Urge {
+                rank: ready.rank,
+                slack_ms: ready.latest - now as i64,
+            };
             for (index, task) in job.tasks.iter().enumerate() {
-                let urge = job.urge(now, task.step);
-                if task.state == TaskState::Waiting && urge.rank != Rank::Worthless {
+                if task.state == TaskState::Waiting {
                     waiting.push(WaitingTask {
-                        job: id.clone(),
+                        job: ready.job.clone(),
                         index,
                         urge,
+                        room: job.spec.steps[task.step].room,
                     });
                 }
             }
+            if waiting.len() >= most {
+                waiting.truncate(most);
+                break;
+            }
         }
-        waiting.sort_by(|a, b| {
-            let urge = a.urge.partial_cmp(&b.urge);
-            let urge = urge.unwrap_or(std::cmp::Ordering::Equal);
-            urge.then_with(|| a.job.cmp(&b.job))
-                .then(a.index.cmp(&b.index))
-        });
         waiting
     }
 
+    /// Finds a job's place among those with tasks that wait.
+    fn rank(&mut self, now: Millis, id: &Name) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let waiting = job.tasks.iter();
+        let waiting = waiting.filter(|task| task.state == TaskState::Waiting);
+        let urges = waiting.map(|task| job.urge(now, task.step));
+        let least = urges.min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        let ready = least.filter(|urge| urge.rank != Rank::Worthless);
+        let ready = ready.map(|urge| Ready {
+            rank: urge.rank,
+            latest: urge.slack_ms + now as i64,
+            job: id.clone(),
+        });
+        if job.ready == ready {
+            return;
+        }
+        if let Some(old) = std::mem::replace(&mut job.ready, ready.clone()) {
+            self.ready.remove(&old);
+        }
+        self.ready.extend(ready);
+    }
+
     /// Returns the order for a task that waits.
     ///
     /// # Panics
@@ -336,23 +388,49 @@
         }
     }
 
+    /// Returns the pool of a job's targets.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such job.
+    #[must_use]
+    pub fn pool(&self, id: &Name) -> &Name {
+        &self.jobs[id].queue.pool
+    }
+
+    /// Returns a job's first task of each step, as orders.
+    #[must_use]
+    pub fn samples(&self, id: &Name) -> Vec<TaskOrder> {
+        let Some(job) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let mut steps = Vec::new();
+        for (index, task) in job.tasks.iter().enumerate() {
+            if task.step == steps.len() {
+                steps.push(self.order(id, index));
+            }
+        }
+        steps
+    }
+
     /// Takes note that a task is started on a target of this host.
-    pub fn started(&mut self, id: &Name, index: usize) {
-        self.set(id, index, TaskState::Runs(None));
+    pub fn started(&mut self, now: Millis, id: &Name, index: usize) {
+        self.set(now, id, index, TaskState::Runs(None));
     }
 
     /// Takes note that a peer is asked to start a task.
-    pub fn asked(&mut self, id: &Name, index: usize, peer: &Name) {
-        self.set(id, index, TaskState::Asked(peer.clone()));
+    pub fn asked(&mut self, now: Millis, id: &Name, index: usize, peer: &Name) {
+        self.set(now, id, index, TaskState::Asked(peer.clone()));
     }
 
-    fn set(&mut self, id: &Name, index: usize, state: TaskState) {
+    fn set(&mut self, now: Millis, id: &Name, index: usize, state: TaskState) {
         if let Some(job) = self.jobs.get_mut(id) {
             if matches!(state, TaskState::Runs(_)) {
                 job.begun = true;
                 job.starts += 1;
             }
             job.tasks[index].state = state;
+            self.rank(now, id);
         }
     }
 
@@ -370,7 +448,7 @@
     }
 
     /// Takes a peer's word on a task that it was asked to start.
-    pub fn placed(&mut self, key: &RunKey, peer: &Name, taken: bool) {
+    pub fn placed(&mut self, now: Millis, key: &RunKey, peer: &Name, taken: bool) {
         let Some((id, index)) = self.find(key) else {
             if taken {
                 // The job ended meanwhile.
@@ -385,7 +463,7 @@
             } else {
                 TaskState::Waiting
             };
-            self.set(&id, index, state);
+            self.set(now, &id, index, state);
         }
     }
 
@@ -432,6 +510,7 @@
                 task.state = TaskState::Waiting;
             }
         }
+        self.rank(now, &id);
     }
 
     /// Runs at a peer may go on until `over` and then no longer.
@@ -460,6 +539,10 @@
         self.ended.retain(|_, (_, until)| *until > now);
         self.next_runs.retain(|_, (_, until)| *until > now);
         let mut ends = Vec::new();
+        let ids: Vec<Name> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.rank(now, &id);
+        }
         for (id, job) in &mut self.jobs {
             for task in &mut job.tasks {
                 if matches!(task.state, TaskState::Lost(over) if over <= now) {
@@ -493,6 +576,9 @@
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
+        if let Some(ready) = &job.ready {
+            self.ready.remove(ready);
+        }
         self.stop_runs(id, &job);
         let took_ms = now.saturating_sub(job.taken);
         let answer = match cause {
@@ -595,25 +681,22 @@
     (hopeless && !runs).then_some(Cause::Deadline)
 }
 
-/// Sums up the tasks that found no room.
+/// Sums up tasks of one pool that found no room.
 #[must_use]
-pub fn want(left: &[(Urge, TaskOrder)]) -> Option<Want> {
-    let (urge, first) = left.first()?;
-    let same_pool = left.iter().filter(|(_, order)| order.pool == first.pool);
+pub fn want(left: &[WaitingTask], pool: &Name) -> Option<Want> {
+    let first = left.first()?;
     let mut least = first.room;
-    let mut count = 0;
-    for (_, order) in same_pool {
+    for task in left {
         least = Room {
-            cpu: least.cpu.min(order.room.cpu),
-            memory_mb: least.memory_mb.min(order.room.memory_mb),
-            gpus: least.gpus.min(order.room.gpus),
+            cpu: least.cpu.min(task.room.cpu),
+            memory_mb: least.memory_mb.min(task.room.memory_mb),
+            gpus: least.gpus.min(task.room.gpus),
         };
-        count += 1;
     }
     Some(Want {
-        urge: *urge,
-        pool: first.pool.clone(),
+        urge: first.urge,
+        pool: pool.clone(),
         least,
-        count,
+        count: left.len() as u32,
     })
 }
--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The targets that this host looks after.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use gannetridge_wire::Name;
 
@@ -9,6 +9,7 @@
 use crate::message::{End, FreeRoom, HostInfo, RunKey, TaskOrder, Want};
 use crate::note::Note;
 use crate::settings::{Settings, Times};
+use crate::spec::Room;
 use crate::target::{Report, Stage, Target};
 use crate::{assignment, Millis};
 
@@ -24,8 +25,16 @@
 const IDLE_LOOK_MS: Millis = 3_000;
 /// A keeper of this long takes a target back when another host took it.
 const SETTLED_MS: Millis = 3_000;
-/// How long a target is left to the host that took it back.
-const BARRED_MS: Millis = 5_000;
+/// How long a target is left to the host that took it; doubles each time.
+const BARRED_MS: Millis = 1_000;
+/// The longest that a target is left to another host.
+const LONGEST_BARRED_MS: Millis = 16_000;
+/// Losses of a target are forgotten when it was kept for this long.
+const FORGIVEN_MS: Millis = 10_000;
+/// How often a higher token is tried at once where one was too low.
+const TOKENS_TRIED: u32 = 4;
+/// By how much a token that was too low is raised at first; doubles.
+const TOKEN_RAISE_MS: Millis = 250;
 /// Between tries at a target that doesn't answer and isn't kept.
 const TAKE_RETRY_MS: Millis = 500;
 /// Entries that are missing when the store is back are gone after this.
@@ -68,6 +77,13 @@
     targets: BTreeMap<Name, Target>,
     /// The targets that this host looks after or is taking.
     ours: BTreeSet<Name>,
+    /// The targets that this host should look after, the hosts that they
+    /// were shared with, and whether targets have come since.
+    shares: HashSet<Name>,
+    shared_with: Vec<HostInfo>,
+    unshared: bool,
+    /// The tasks in the books of any target.
+    tasks: HashSet<Name>,
     calls: HashMap<CallId, Sent>,
     /// Targets that another host should have, and since when.
     surplus: HashMap<Name, Millis>,
@@ -77,8 +93,7 @@
     ended_early: HashMap<RunKey, Millis>,
     store_back: Option<Millis>,
     store_reachable: bool,
-    /// Ends that owners are to be told.
-    pub reports: Vec<Report>,
+    reports: Vec<Report>,
     /// What to do.
     pub out: Vec<Action>,
 }
@@ -94,6 +109,10 @@
             unique: xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes()) % UNIQUE,
             targets: BTreeMap::new(),
             ours: BTreeSet::new(),
+            shares: HashSet::new(),
+            shared_with: Vec::new(),
+            unshared: true,
+            tasks: HashSet::new(),
             calls: HashMap::new(),
             surplus: HashMap::new(),
             last_fence: 0,
@@ -106,6 +125,14 @@
         }
     }
 
+    /// Takes the ends that owners are to be told.
+    pub fn take_reports(&mut self) -> Vec<Report> {
+        for report in &self.reports {
+            self.tasks.remove(&report.end.key.task);
+        }
+        std::mem::take(&mut self.reports)
+    }
+
     /// Returns how many targets are known and how many are kept.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
@@ -137,6 +164,13 @@
         rooms.filter(|free| free.room.cpu > 0).collect()
     }
 
+    /// Tells whether there is such room on any target of this host.
+    #[must_use]
+    pub fn may_fit(&self, now: Millis, room: &Room) -> bool {
+        let mut open = self.our_targets();
+        open.any(|target| target.free().fits(room) && self.is_usable(now, target))
+    }
+
     /// Tells whether any known target could ever run the order.
     #[must_use]
     pub fn could_run(&self, order: &TaskOrder) -> bool {
@@ -167,7 +201,7 @@
 
     /// Starts a task if there is room for it.
     pub fn place(&mut self, now: Millis, owner: &Name, session: u64, order: &TaskOrder) -> bool {
-        let there = self.targets.values().any(|t| t.has_task(&order.key.task));
+        let there = self.tasks.contains(&order.key.task);
         if there || self.ended_early.contains_key(&order.key) {
             return false;
         }
@@ -186,6 +220,7 @@
     fn start(&mut self, now: Millis, id: &Name, owner: &Name, session: u64, order: &TaskOrder) {
         let target = self.targets.get_mut(id).expect("the target was found");
         let until = target.admit(now, &self.times, owner, session, order);
+        self.tasks.insert(order.key.task.clone());
         self.out.push(Action::Note(Note::Started {
             key: order.key.clone(),
             target: id.clone(),
@@ -369,6 +404,7 @@
             }
             None => {
                 self.targets.insert(id, Target::new(entry));
+                self.unshared = true;
             }
         }
     }
@@ -409,11 +445,11 @@
         claimed: impl Fn(&Name) -> bool,
         may_take: bool,
     ) {
+        self.share_out(hosts);
         let mut take = Vec::new();
         let mut give_up = Vec::new();
         for (id, target) in &self.targets {
-            let keeper = assignment::keeper(id, &target.entry.hall, hosts);
-            let ours = keeper.is_some_and(|host| host.name == self.name);
+            let ours = self.shares.contains(id);
             if ours {
                 self.surplus.remove(id);
                 let free = target.stage == Stage::Elsewhere && target.runs.is_empty();
@@ -435,10 +471,26 @@
         }
     }
 
+    /// Finds this host's share of the targets, if hosts or targets changed.
+    fn share_out(&mut self, hosts: &[HostInfo]) {
+        if !self.unshared && self.shared_with == hosts {
+            return;
+        }
+        let targets = self.targets.iter();
+        let ours = targets.filter(|(id, target)| {
+            let keeper = assignment::keeper(id, &target.entry.hall, hosts);
+            keeper.is_some_and(|host| host.name == self.name)
+        });
+        self.shares = ours.map(|(id, _)| id.clone()).collect();
+        self.shared_with = hosts.to_vec();
+        self.unshared = false;
+    }
+
     fn take(&mut self, now: Millis, id: &Name) {
         let fence = self.next_fence(now);
         if let Some(target) = self.targets.get_mut(id) {
             target.take(now, fence);
+            target.tokens_tried = 0;
             self.ours.insert(id.clone());
             self.note_target(id, "taking", "assignment");
         }
@@ -540,27 +592,44 @@
 
     /// Another host has taken the target, if the call had the present token.
     fn fenced(&mut self, now: Millis, id: &Name, sent: u64) {
-        let fence = self.next_fence(now);
-        let Some(target) = self.targets.get_mut(id) else {
+        let Some(target) = self.targets.get(id) else {
             return;
         };
         if sent != target.fence || target.stage == Stage::Elsewhere {
             return;
         }
         let settled = target.stage == Stage::Kept && target.kept_since + SETTLED_MS <= now;
-        if settled && !self.surplus.contains_key(id) {
-            target.take(now, fence);
-            target.kept_since = now;
-            self.note_target(id, "taking back", "fenced");
+        // Clocks differ: a token by the time may be below the last keeper's.
+        let too_low = target.stage == Stage::Taking && target.tokens_tried < TOKENS_TRIED;
+        if (settled || too_low) && !self.surplus.contains_key(id) {
+            self.take_again(now, id, too_low);
             return;
         }
+        let target = self.targets.get_mut(id).expect("just found");
+        let barred = (BARRED_MS << target.losses.min(4)).min(LONGEST_BARRED_MS);
+        target.losses += 1;
         target.leave_to_others();
-        target.barred_until = now + BARRED_MS;
+        target.barred_until = now + barred;
         self.ours.remove(id);
         self.surplus.remove(id);
         self.note_target(id, "left to others", "fenced");
     }
 
+    fn take_again(&mut self, now: Millis, id: &Name, too_low: bool) {
+        let tried = self.targets[id].tokens_tried;
+        let raise = if too_low { TOKEN_RAISE_MS << tried } else { 0 };
+        let fence = self.next_fence(now + raise);
+        let target = self.targets.get_mut(id).expect("the target is kept");
+        let held_long = target.stage == Stage::Kept && target.kept_since + FORGIVEN_MS <= now;
+        if held_long {
+            target.losses = 0;
+        }
+        target.take(now, fence);
+        target.tokens_tried = if too_low { tried + 1 } else { 0 };
+        target.kept_since = now;
+        self.note_target(id, "taking back", "fenced");
+    }
+
     /// The target's process is another one by now.
     fn life_over(&mut self, now: Millis, id: &Name) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -10,6 +10,7 @@
 use crate::event::CallId;
 use crate::message::{BeatReply, Echo, FreeRoom, HostInfo, Reply, RunEnd, RunKey, TaskOrder, Want};
 use crate::settings::Times;
+use crate::spec::Room;
 use crate::Millis;
 
 /// Between heartbeats to a peer that doesn't answer.
@@ -254,6 +255,14 @@
         }
     }
 
+    /// Tells whether any peer is believed to have such room.
+    #[must_use]
+    pub fn may_fit(&self, now: Millis, room: &Room) -> bool {
+        let peers = self.all.values();
+        let mut open = peers.filter(|peer| peer.takes_tasks(now, &self.times));
+        open.any(|peer| peer.free.iter().any(|free| free.room.fits(room)))
+    }
+
     /// Picks a peer that is believed to have room, its own hall first.
     pub fn with_room(&mut self, now: Millis, order: &TaskOrder) -> Option<Name> {
         let times = self.times;
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -93,6 +93,10 @@
     pub kept_since: Millis,
     /// Not to be taken before.
     pub barred_until: Millis,
+    /// How often a token was too low since it was to be taken.
+    pub tokens_tried: u32,
+    /// How often it was lost to another host.
+    pub losses: u32,
     /// When it went from the list, if it did.
     pub unlisted_since: Option<Millis>,
     /// The runs.
@@ -143,6 +147,8 @@
             fence: 0,
             kept_since: 0,
             barred_until: 0,
+            tokens_tried: 0,
+            losses: 0,
             unlisted_since: None,
             runs: BTreeMap::new(),
             noted: 0,
@@ -200,17 +206,6 @@
             && (self.failures < FAILURES_TO_SUSPEND || self.runs.is_empty())
     }
 
-    /// Tells whether a run of a task is in the books.
-    #[must_use]
-    pub fn has_task(&self, task: &Name) -> bool {
-        let first = RunKey {
-            task: task.clone(),
-            run: 0,
-        };
-        let next = self.runs.range(first..).next();
-        next.is_some_and(|(key, _)| key.task == *task)
-    }
-
     /// Tells whether the free room is kept for another host than `owner`.
     #[must_use]
     pub fn is_offered_to_others(&self, now: Millis, owner: &Name) -> bool {
