Spend less processor time under a burst, and leave slow hosts their targets

Cause: after all hosts lost power one host was busy for half a second; peers took it for dead and took its targets, which then changed hands twice. Targets are left to a host for two vouches since it was last heard; its runs are given up after one, as before.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -709,15 +709,19 @@
     }
 
     fn send_beats(&mut self, now: Millis) {
+        let (peers, seeds) = (self.peers.beats_due(now), self.peers.seeds_due(now));
+        if peers.is_empty() && seeds.is_empty() {
+            return;
+        }
         let beat = Beat {
             leaving: self.stopping.is_some(),
             version: self.version(),
             hosts_hash: self.peers.hash(),
         };
-        for name in self.peers.beats_due(now) {
+        for name in peers {
             self.call_peer(&name, Request::Beat(beat.clone()), Purpose::Beat);
         }
-        for seed in self.peers.seeds_due(now) {
+        for seed in seeds {
             let call = self.send(seed, 0, None, Request::Beat(beat.clone()));
             self.calls.insert(call, (None, Purpose::Seed));
         }
@@ -831,14 +835,18 @@
         for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
             self.serve_wants(now, Some(&task));
             let here = self.stopping.is_none() && self.keeper.may_fit(now, &task.room);
-            if !here && !self.peers.may_fit(now, &task.room) {
+            let there = task.may_ask && self.peers.may_fit(now, &task.room);
+            if !here && !there {
                 left.push(task);
                 continue;
             }
             let order = self.jobs.order(&task.job, task.index);
             if here && self.keeper.place(now, &own, 0, &order) {
                 self.jobs.started(now, &task.job, task.index);
-            } else if let Some(peer) = self.peers.with_room(now, &order) {
+                continue;
+            }
+            let peer = there.then(|| self.peers.with_room(now, &order));
+            if let Some(peer) = peer.flatten() {
                 self.jobs.asked(now, &task.job, task.index, &peer);
                 batches.entry(peer).or_default().push(order);
             } else {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -30,6 +30,9 @@
 const MAX_JOBS: usize = 2_000;
 /// Least and most time after which a refused caller may come back.
 const RETRY_AFTER_MS: (Millis, Millis) = (500, 3_000);
+/// After a peer had no room for a task after all, others aren't asked for it on
+/// mere belief for this long.
+const ASK_PAUSE_MS: Millis = 25;
 /// A target that had seen a higher run is passed by this much.
 const RUN_LEAP: u32 = 16;
 
@@ -57,6 +60,9 @@
     run: u32,
     failures: u32,
     avoid: Vec<Name>,
+    /// A peer that took it for free said no: others are asked on belief no
+    /// sooner than this, offers are taken at any time.
+    ask_after: Millis,
 }
 
 /// A job under way.
@@ -156,6 +162,8 @@
     pub urge: Urge,
     /// What it takes.
     pub room: Room,
+    /// Whether peers may be asked that are only believed to have room.
+    pub may_ask: bool,
 }
 
 /// The jobs of the callers that are connected here.
@@ -250,6 +258,7 @@
                     run,
                     failures: 0,
                     avoid: Vec::new(),
+                    ask_after: 0,
                 });
             }
         }
@@ -324,6 +333,7 @@
                         index,
                         urge,
                         room: job.spec.steps[task.step].room,
+                        may_ask: task.ask_after <= now,
                     });
                 }
             }
@@ -461,6 +471,8 @@
             let state = if taken {
                 TaskState::Runs(Some(peer.clone()))
             } else {
+                let job = self.jobs.get_mut(&id).expect("the job was found");
+                job.tasks[index].ask_after = now + ASK_PAUSE_MS;
                 TaskState::Waiting
             };
             self.set(now, &id, index, state);
@@ -655,7 +667,7 @@
 
 /// Tells why a job has to end now, if it has.
 fn due_end(now: Millis, job: &Job) -> Option<Cause> {
-    let wait = (job.deadline - job.taken) as f64;
+    let wait = (job.deadline - job.taken).min(job.worth_ms()) as f64;
     let waited_enough = now >= job.taken + (wait * WAIT_SHARE) as Millis;
     let mut open = job
         .tasks
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -13,6 +13,8 @@
 use crate::spec::Room;
 use crate::Millis;
 
+/// A peer's targets are left to it for this many vouches since it was heard.
+const DEAD_AFTER_VOUCHES: Millis = 2;
 /// Between heartbeats to a peer that doesn't answer.
 const SILENT_BEAT_MS: Millis = 500;
 /// Hosts that were never heard for this long are forgotten.
@@ -106,6 +108,14 @@
         !self.refused && self.acked.is_some_and(|at| at + times.vouch > now)
     }
 
+    /// Tells whether its targets are left to it: a host that is slow to answer
+    /// keeps them, though no tasks are handed to it.
+    #[must_use]
+    pub fn holds_targets(&self, now: Millis, times: &Times) -> bool {
+        let heard = self.acked.is_some() && self.heard + DEAD_AFTER_VOUCHES * times.vouch > now;
+        heard && !self.refused
+    }
+
     /// Tells whether tasks may be handed to it.
     #[must_use]
     pub fn takes_tasks(&self, now: Millis, times: &Times) -> bool {
@@ -201,7 +211,7 @@
     #[must_use]
     pub fn staying(&self, now: Millis, own_stays: bool) -> Vec<HostInfo> {
         let others = self.all.values();
-        let others = others.filter(|peer| peer.takes_tasks(now, &self.times));
+        let others = others.filter(|p| !p.leaving && p.holds_targets(now, &self.times));
         let others = others.map(|peer| peer.info.clone());
         let own = own_stays.then(|| self.own.clone());
         others.chain(own).collect()
@@ -211,7 +221,7 @@
     #[must_use]
     pub fn is_kept(&self, now: Millis, target: &Name) -> bool {
         let mut peers = self.all.values();
-        peers.any(|peer| peer.is_alive(now, &self.times) && peer.kept.contains(target))
+        peers.any(|p| p.holds_targets(now, &self.times) && p.kept.contains(target))
     }
 
     /// Takes what every reply says; returns whether the peer's process is
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -2,8 +2,10 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -186,8 +188,9 @@
 /// Tells whether an idle connection is still open: nothing may have come on
 /// it, neither bytes nor its end.
 async fn is_alive(connection: &mut Connection) -> bool {
-    let peek = connection.reader.peek_data();
-    timeout(Duration::ZERO, peek).await.is_err()
+    let mut peek = std::pin::pin!(connection.reader.peek_data());
+    // One look is enough, and cheaper than a timer.
+    std::future::poll_fn(|cx| Poll::Ready(peek.as_mut().poll(cx).is_pending())).await
 }
 
 fn request(addr: SocketAddr, method: Method, path: &str, body: Bytes) -> Request<Payload> {
