Let a stopping host end connections and take what it can still end

Change: while stopping each answer ends its connection; jobs are taken as long as their aim lies within the grace period.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -35,8 +35,6 @@
 const WANT_PAUSE_MS: Millis = 100;
 /// The most waiting tasks that are looked at in one go.
 const MAX_LOOKED_AT: usize = 64;
-/// A stopping host takes jobs for this part of its grace period.
-const TAKES_SHARE: f64 = 0.4;
 /// A stopping host stays at least for this part of its grace period, since
 /// callers keep coming until the platform has seen that it isn't ready.
 const STAYS_SHARE: f64 = 0.4;
@@ -233,7 +231,9 @@
         if let Err(error) = checked {
             return self.reject(token, &path, Answer::Bad(error), "bad job");
         }
-        if self.jobs.state(&id).is_none() && self.takes_no_more(now) {
+        if self.jobs.state(&id).is_none()
+            && self.ends_before(now, queue.aim(submit.spec.chain_ms()))
+        {
             let answer = Answer::Refused {
                 retry_after_ms: self.settings.bounds.grace_period_ms,
             };
@@ -257,10 +257,12 @@
         }
     }
 
-    fn takes_no_more(&self, now: Millis) -> bool {
-        let grace = self.settings.bounds.grace_period_ms as f64;
-        self.stopping
-            .is_some_and(|since| now >= since + (grace * TAKES_SHARE) as Millis)
+    /// Tells whether the host, if it is stopping, ends before a job of this
+    /// aim does.
+    fn ends_before(&self, now: Millis, aim: Millis) -> bool {
+        let grace = self.settings.bounds.grace_period_ms;
+        let last = self.stopping.map(|since| since + grace - LAST_WORD_MS);
+        last.is_some_and(|last| now + aim >= last)
     }
 
     fn ask(&mut self, token: Token, host: &Name, path: &Name) {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -130,16 +130,6 @@
             }
         }
     }
-
-    /// Returns the longest chain of steps, by estimates.
-    fn chain_ms(spec: &JobSpec) -> Millis {
-        let mut ends: Vec<Millis> = Vec::new();
-        for step in &spec.steps {
-            let before = step.after.iter().map(|earlier| ends[*earlier]).max();
-            ends.push(before.unwrap_or(0) + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
-    }
 }
 
 /// A job's place in the order of those with tasks that wait.
@@ -247,7 +237,7 @@
             return;
         }
         let wait = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-        let aim_ms = queue.aim(Job::chain_ms(&submit.spec));
+        let aim_ms = queue.aim(submit.spec.chain_ms());
         let run = self.next_runs.get(&id).map_or(1, |(run, _)| *run);
         let mut tasks = Vec::new();
         for (step, spec) in submit.spec.steps.iter().enumerate() {
--- a/crates/dispatch/src/spec.rs
+++ b/crates/dispatch/src/spec.rs
@@ -96,6 +96,22 @@
 }
 
 impl JobSpec {
+    /// Returns the time of the longest chain of steps, by estimates.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a step comes after itself or a later one; see
+    /// [`JobSpec::check`].
+    #[must_use]
+    pub fn chain_ms(&self) -> Millis {
+        let mut ends: Vec<Millis> = Vec::new();
+        for step in &self.steps {
+            let before = step.after.iter().map(|earlier| ends[*earlier]).max();
+            ends.push(before.unwrap_or(0) + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
     /// Checks what doesn't depend on targets.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/dispatch/tests/stopping.rs
@@ -0,0 +1,42 @@
+//! A stop in order.
+
+mod support;
+
+use gannetridge_dispatch::event::ListedHow;
+use gannetridge_dispatch::{Answer, Event, TargetReply};
+use support::{case, ended, step, target, Rig};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+case!(a_stopping_host_takes_what_it_can_still_end, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.event(Event::Stop);
+    rig.pass(3_000);
+    // 2.5 s are left: enough for a short job, not for a long one.
+    rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 1_600)], 9_000);
+    assert_eq!(rig.answer_to(1), None);
+    assert!(matches!(rig.answer_to(2), Some(Answer::Refused { .. })));
+});
+
+case!(a_stopping_host_ends_what_it_has_and_then_stops, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 900)], 6_000);
+    let (call, _, key) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Done { clock });
+    rig.event(Event::Stop);
+    for _ in 0..25 {
+        rig.pass(100);
+        for (call, _) in rig.holds() {
+            rig.listing(call, std::slice::from_ref(&key), &[]);
+        }
+    }
+    assert!(!rig.stopped, "its job still runs");
+    rig.pass(10);
+    let (call, _) = rig.holds().remove(0);
+    rig.listing(call, &[], &[ended(1, &key, ListedHow::Done)]);
+    assert_eq!(rig.answer_to(1), Some(&Answer::Completed));
+    rig.pass(100);
+    assert!(rig.stopped);
+});
--- a/crates/dispatcher/src/caller_api.rs
+++ b/crates/dispatcher/src/caller_api.rs
@@ -38,13 +38,37 @@
     }
 }
 
+/// Tells tasks that the host is stopping in order.
+#[derive(Clone, Default)]
+pub struct Stopping(Rc<Cell<bool>>);
+
+impl Stopping {
+    /// Takes note that the host is stopping.
+    pub fn set(&self) {
+        self.0.set(true);
+    }
+}
+
 /// Handles one request. Dropped before its end, the caller is gone.
-pub async fn handle(tx: Sender, tokens: Tokens, outside: Outside, req: HttpRequest) -> HttpReply {
-    let request = match (outside.read_caller)(&req) {
-        Ok(request) => request,
-        Err(reply) => return *reply,
+///
+/// While the host is stopping each answer ends its connection, so that callers
+/// find other hosts: an open connection stays with its host.
+pub async fn handle(
+    tx: Sender,
+    tokens: Tokens,
+    stopping: Stopping,
+    outside: Outside,
+    req: HttpRequest,
+) -> HttpReply {
+    let mut reply = match (outside.read_caller)(&req) {
+        Ok(request) => ask(tx, tokens.next(), &outside, request).await,
+        Err(reply) => *reply,
     };
-    let token = tokens.next();
+    reply.close = stopping.0.get();
+    reply
+}
+
+async fn ask(tx: Sender, token: Token, outside: &Outside, request: CallerRequest) -> HttpReply {
     let event = match request {
         CallerRequest::Submit(submit) => Event::Submit { token, submit },
         CallerRequest::Ask { host, path } => Event::Ask { token, host, path },
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -10,6 +10,7 @@
 use monoio::time::timeout;
 use tracing::info;
 
+use crate::caller_api::Stopping;
 use crate::logging::Log;
 use crate::metrics::{end_name, Metrics};
 use crate::outside::{Outside, TargetOrder};
@@ -51,6 +52,8 @@
     pub outside: Outside,
     /// The metrics.
     pub metrics: Metrics,
+    /// Tells other tasks that the host is stopping.
+    pub stopping: Stopping,
     /// Signals.
     pub signals: Signals,
     /// Reads the settings file again.
@@ -86,6 +89,7 @@
     fn look_at_signals(&mut self) {
         if self.signals.take_stop() {
             info!(event = "stopping");
+            self.stopping.set();
             self.handle(Event::Stop);
         }
         let now = self.now();
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -14,7 +14,7 @@
 use monoio::net::TcpListener;
 use tracing::{info, warn};
 
-use crate::caller_api::{self, Tokens};
+use crate::caller_api::{self, Stopping, Tokens};
 use crate::core_task::{CoreTask, Message, Sender};
 use crate::logging;
 use crate::metrics::Metrics;
@@ -99,7 +99,8 @@
     let info = dispatcher.info().clone();
     let (tx, rx) = unbounded::channel();
     let signals = Signals::listen()?;
-    serve_all(&settings, &outside, &tx)?;
+    let stopping = Stopping::default();
+    serve_all(&settings, &outside, &tx, &stopping)?;
     let reachable = Reachable::new(tx.clone());
     for table in [Table::Configuration, Table::Targets, Table::Hosts] {
         let (outside, tx, reachable) = (outside.clone(), tx.clone(), reachable.clone());
@@ -122,6 +123,7 @@
         peers: Client::new(client_limits()),
         outside,
         metrics: Metrics::new()?,
+        stopping,
         signals,
         reloader: Reloader::new(path, settings),
         log,
@@ -144,7 +146,12 @@
     }
 }
 
-fn serve_all(settings: &Settings, outside: &Outside, tx: &Sender) -> anyhow::Result<()> {
+fn serve_all(
+    settings: &Settings,
+    outside: &Outside,
+    tx: &Sender,
+    stopping: &Stopping,
+) -> anyhow::Result<()> {
     let tokens = Tokens::default();
     let peers = listen(settings.peers)?;
     let (peer_tx, peer_tokens) = (tx.clone(), tokens.clone());
@@ -153,10 +160,12 @@
     }));
     let callers = listen(settings.callers)?;
     let (caller_tx, caller_outside) = (tx.clone(), outside.clone());
+    let stopping = stopping.clone();
     monoio::spawn(serve(callers, ServerLimits::default(), move |req| {
         caller_api::handle(
             caller_tx.clone(),
             tokens.clone(),
+            stopping.clone(),
             caller_outside.clone(),
             req,
         )
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -27,6 +27,8 @@
     pub content_type: &'static str,
     /// Seconds for the `Retry-After` header.
     pub retry_after_s: Option<u64>,
+    /// Whether the connection ends with this reply.
+    pub close: bool,
     /// The body.
     pub body: Bytes,
 }
@@ -39,6 +41,7 @@
             status,
             content_type,
             retry_after_s: None,
+            close: false,
             body: body.into(),
         }
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -142,6 +142,7 @@
         let Some(reply) = unless_gone(&mut reader, handler(req)).await else {
             return Err(ReadError::Ended);
         };
+        let close = close || reply.close;
         if writer.send_and_flush(response(reply, close)).await.is_err() {
             return Err(ReadError::Ended);
         }
