--- a/crates/dispatch-lab/src/scenario.rs
+++ b/crates/dispatch-lab/src/scenario.rs
@@ -44,7 +44,7 @@
             targets: 4,
             jobs_per_s: 30.0,
             fault_gap_ms: 1_500,
-            guards: seed.is_multiple_of(2),
+            guards: seed % 2 == 0,
             verbose: false,
             bounds: Bounds {
                 retransmit_ms: 1_300,
--- a/crates/dispatch-lab/src/world.rs
+++ b/crates/dispatch-lab/src/world.rs
@@ -212,7 +212,7 @@
     fn new_target(&mut self, index: usize) -> Target {
         self.lives += 1;
         let hall = self.hall_of_target(index);
-        let cores = if index.is_multiple_of(3) { 24 } else { 16 };
+        let cores = if index % 3 == 0 { 24 } else { 16 };
         let entry = TargetEntry {
             id: format!("t{index}-{}", self.lives).into(),
             address: format!("{index}").into(),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -700,7 +700,7 @@
         self.next_tick = now + IDLE_TICK_MS;
         self.jobs.tick(now);
         let may_take = self.started.is_some_and(|at| at + SETTLE_MS <= now);
-        let staying = self.peers.staying(now, self.stopping.is_none());
+        let staying = self.staying(now);
         let peers = &self.peers;
         self.keeper
             .assign(now, &staying, |id| peers.is_kept(now, id), may_take);
@@ -710,6 +710,22 @@
         self.stop_if_done(now);
     }
 
+    /// Returns the hosts that share the targets: those that stay, or this one
+    /// alone where no other does.
+    fn staying(&self, now: Millis) -> Vec<HostInfo> {
+        let staying = self.peers.staying(now, self.stopping.is_none());
+        if staying.is_empty() {
+            return vec![self.own.clone()];
+        }
+        staying
+    }
+
+    /// Tells whether new tasks may be started on this host's targets: not
+    /// while it is stopping, unless no other host could.
+    fn starts_here(&self, now: Millis) -> bool {
+        self.stopping.is_none() || self.peers.staying(now, false).is_empty()
+    }
+
     fn send_beats(&mut self, now: Millis) {
         let (peers, seeds) = (self.peers.beats_due(now), self.peers.seeds_due(now));
         if peers.is_empty() && seeds.is_empty() {
@@ -832,11 +848,12 @@
             return self.serve_wants(now, None);
         }
         let own = self.own.name.clone();
+        let starts_here = self.starts_here(now);
         let mut left: Vec<WaitingTask> = Vec::new();
         let mut batches: BTreeMap<Name, Vec<TaskOrder>> = BTreeMap::new();
         for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
             self.serve_wants(now, Some(&task));
-            let here = self.stopping.is_none() && self.keeper.may_fit(now, &task.room);
+            let here = starts_here && self.keeper.may_fit(now, &task.room);
             let there = task.may_ask && self.peers.may_fit(now, &task.room);
             if !here && !there {
                 left.push(task);
--- a/crates/dispatch/tests/stopping.rs
+++ b/crates/dispatch/tests/stopping.rs
@@ -40,3 +40,24 @@
     rig.pass(100);
     assert!(rig.stopped);
 });
+
+case!(a_stopping_host_that_is_alone_goes_on_with_its_targets, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    rig.submit(1, ID, vec![step(3, 7_000, 300)], 6_000);
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 2);
+    rig.event(Event::Stop);
+    rig.pass(50);
+    let ends: Vec<_> = starts
+        .iter()
+        .enumerate()
+        .map(|(n, (_, _, key))| ended(n as u64 + 1, key, ListedHow::Done))
+        .collect();
+    let (call, _) = rig.holds().remove(0);
+    rig.listing(call, &[], &ends);
+    assert_eq!(
+        rig.starts().len(),
+        1,
+        "nobody else could start the last task"
+    );
+});
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -9,9 +9,9 @@
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
 use tracing::info;
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::caller_api::Stopping;
-use crate::logging::Log;
 use crate::metrics::{end_name, Metrics};
 use crate::outside::{Outside, TargetOrder};
 use crate::peer_api;
@@ -58,8 +58,8 @@
     pub signals: Signals,
     /// Reads the settings file again.
     pub reloader: Reloader,
-    /// The log.
-    pub log: Log,
+    /// Counts log lines that were dropped.
+    pub log_dropped: ErrorCounter,
     /// Requests of callers that wait.
     pub callers: HashMap<Token, oneshot::Sender<Answer>>,
     /// Requests of peers that wait.
@@ -119,8 +119,8 @@
             }
             Message::Look(look) => {
                 let now = self.now();
-                self.metrics
-                    .observe(now, &self.dispatcher, self.log.dropped());
+                let dropped = self.log_dropped.dropped_lines() as u64;
+                self.metrics.observe(now, &self.dispatcher, dropped);
                 look(&self.dispatcher, &self.metrics);
             }
         }
@@ -247,7 +247,7 @@
             key,
             target,
             reason,
-        } => info!(event = "run-stopping", task = %key.task, run = key.run, %target, reason),
+        } => info!(event = "run-ending", task = %key.task, run = key.run, %target, reason),
         Note::Target { target, state, by } => info!(event = "target", %target, state, by),
         Note::Peer {
             peer,
--- a/crates/dispatcher/src/logging.rs
+++ b/crates/dispatcher/src/logging.rs
@@ -5,20 +5,13 @@
 
 use crate::settings::LogSettings;
 
-/// Keeps the log's writer going.
+/// Keeps the log's writer going; dropped last, so that the last line is out.
 pub struct Log {
-    dropped: ErrorCounter,
+    /// Counts the lines that were dropped, since their reader was too slow.
+    pub dropped: ErrorCounter,
     _guard: WorkerGuard,
 }
 
-impl Log {
-    /// Returns how many lines were dropped, since their reader was too slow.
-    #[must_use]
-    pub fn dropped(&self) -> u64 {
-        self.dropped.dropped_lines() as u64
-    }
-}
-
 /// Writes log lines to the standard output from here on.
 ///
 /// # Errors
--- a/crates/dispatcher/src/outside.rs
+++ b/crates/dispatcher/src/outside.rs
@@ -115,6 +115,8 @@
     Unreadable(Name),
 }
 
+/// Reads a caller's request; what can't be read has its reply at once.
+pub type ReadCaller = Rc<dyn Fn(&HttpRequest) -> Result<CallerRequest, Box<HttpReply>>>;
 /// Calls a target once.
 pub type CallTarget = Rc<dyn Fn(TargetOrder) -> LocalFuture<Result<TargetReply, SendFailure>>>;
 /// Reads a table whole.
@@ -127,8 +129,8 @@
 /// The platform, as typed calls.
 #[derive(Clone)]
 pub struct Outside {
-    /// Reads a caller's request; what can't be read has its reply at once.
-    pub read_caller: Rc<dyn Fn(&HttpRequest) -> Result<CallerRequest, Box<HttpReply>>>,
+    /// See [`ReadCaller`].
+    pub read_caller: ReadCaller,
     /// Words an answer.
     pub answer: Rc<dyn Fn(&Answer) -> HttpReply>,
     /// The path at which the platform asks whether the host is ready.
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -126,7 +126,7 @@
         stopping,
         signals,
         reloader: Reloader::new(path, settings),
-        log,
+        log_dropped: log.dropped.clone(),
         callers: HashMap::new(),
         waiting_peers: HashMap::new(),
         stopped: false,
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -92,3 +92,66 @@
     assert_eq!(exchange(addr, b"", false), "");
     drop(open);
 }
+
+/// Tells when it is dropped.
+struct Dropped(mpsc::Sender<()>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        // The test may have seen enough.
+        let _ = self.0.send(());
+    }
+}
+
+#[test]
+fn a_handler_is_dropped_when_its_caller_is_gone() {
+    let (addr_tx, addr_rx) = mpsc::channel();
+    let (dropped_tx, dropped_rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        let server = async move {
+            let listener = bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+            let addr = listener.local_addr().expect("a bound address");
+            addr_tx.send(addr).expect("a receiver");
+            serve(listener, ServerLimits::default(), move |_| {
+                let dropped = Dropped(dropped_tx.clone());
+                async move {
+                    let _dropped = dropped;
+                    std::future::pending::<HttpReply>().await
+                }
+            })
+            .await;
+        };
+        runtime::run(server).expect("a runtime");
+    });
+    let mut stream = TcpStream::connect(addr_rx.recv().expect("an address")).expect("open");
+    stream
+        .write_all(b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nhi")
+        .expect("sent");
+    let early = dropped_rx.recv_timeout(Duration::from_millis(100));
+    assert!(early.is_err(), "the caller still waits");
+    drop(stream);
+    let dropped = dropped_rx.recv_timeout(Duration::from_secs(20));
+    assert!(dropped.is_ok(), "the caller is gone");
+}
+
+#[test]
+fn a_reply_may_end_its_connection() {
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        let server = async move {
+            let listener = bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+            tx.send(listener.local_addr().expect("a bound address"))
+                .expect("a receiver");
+            serve(listener, ServerLimits::default(), |req| async move {
+                let mut reply = HttpReply::new(StatusCode::OK, "text/plain", req.body);
+                reply.close = true;
+                reply
+            })
+            .await;
+        };
+        runtime::run(server).expect("a runtime");
+    });
+    let bytes = b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nhi";
+    let reply = exchange(rx.recv().expect("an address"), bytes, false);
+    assert!(reply.contains("connection: close"), "{reply}");
+}
