--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod list;
 pub mod show;
 pub mod status;
+pub mod story;
 
 use gumdrop::Options;
 
@@ -19,6 +20,9 @@
     /// Checks documents without any host.
     #[options(help = "check document files")]
     Check(check::Check),
+    /// Follows a request through logs.
+    #[options(help = "print one request's way through log files")]
+    Story(story::Story),
     /// Lists documents.
     #[options(help = "list all documents with their versions")]
     List(list::List),
@@ -46,6 +50,7 @@
 pub async fn run(command: Command, api: Api) -> anyhow::Result<()> {
     match command {
         Command::Check(check) => check::run(&check),
+        Command::Story(story) => story::run(&story),
         Command::List(_) => list::run(&api).await,
         Command::Show(show) => show::run(&show, &api).await,
         Command::Compare(compare) => compare::run(&compare, &api).await,
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,9 +49,11 @@
         }
         return Ok(());
     };
-    // Documents can be checked without any host.
-    if let cmd::Command::Check(check) = &command {
-        return cmd::check::run(check);
+    // Documents and logs can be looked at without any host.
+    match &command {
+        cmd::Command::Check(check) => return cmd::check::run(check),
+        cmd::Command::Story(story) => return cmd::story::run(story),
+        _ => {}
     }
     let path = arguments.settings.context("--settings FILE is needed")?;
     let settings: OperatorSettings = gannetridge_config::settings::read(&path)?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod http;
 mod operators;
 mod sources;
+mod story;
 mod whole_path;
