Show that the driver's checks find missing safeguards

Seven mechanisms can be taken out of a test's copy of a host: vouches, settling, waiting for lost and silent runs, doubt of starts without reply, leaving targets, refusals of begun jobs.

--- a/crates/dispatch-lab/src/scenario.rs
+++ b/crates/dispatch-lab/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use gannetridge_dispatch::{Bounds, Millis};
+use gannetridge_dispatch::{Bounds, Millis, Safeguards};
 
 use crate::checks::Violation;
 use crate::world::World;
@@ -30,6 +30,8 @@
     pub verbose: bool,
     /// The deployment's bounds.
     pub bounds: Bounds,
+    /// The mechanisms that hosts have.
+    pub safeguards: Safeguards,
 }
 
 impl Scenario {
@@ -46,6 +48,7 @@
             fault_gap_ms: 1_500,
             guards: seed % 2 == 0,
             verbose: false,
+            safeguards: Safeguards::default(),
             bounds: Bounds {
                 retransmit_ms: 1_300,
                 max_hold_ms: 1_000,
--- a/crates/dispatch-lab/tests/promises.rs
+++ b/crates/dispatch-lab/tests/promises.rs
@@ -1,5 +1,6 @@
 //! The short form of the randomised runs.
 
+use gannetridge_dispatch::Safeguards;
 use gannetridge_dispatch_lab::{run, Scenario};
 
 /// Seeds that once found a broken promise; the commits tell which.
@@ -53,3 +54,32 @@
     assert_eq!(first.events, second.events);
     assert_eq!(first.answers, second.answers);
 }
+
+type Remove = fn(&mut Safeguards);
+
+/// Each mechanism, how it is taken out, and the promise that is then broken.
+const MUTANTS: [(&str, Remove, &str); 7] = [
+    ("vouches", |s| s.vouches_lapse = false, "twice"),
+    ("settling", |s| s.newcomers_settle = false, "room"),
+    ("lost runs", |s| s.lost_runs_are_waited_for = false, "twice"),
+    ("doubt", |s| s.starts_are_doubted = false, "twice"),
+    ("leaving", |s| s.leaving_is_heeded = false, "drain"),
+    ("begun", |s| s.begun_is_not_refused = false, "refused"),
+    ("silence", |s| s.silent_runs_are_waited_for = false, "twice"),
+];
+
+#[test]
+fn a_missing_mechanism_is_found() {
+    for (name, remove, rule) in MUTANTS {
+        let mut safeguards = Safeguards::default();
+        remove(&mut safeguards);
+        let found = (1..=40).any(|seed| {
+            let outcome = run(&Scenario {
+                safeguards,
+                ..Scenario::new(seed)
+            });
+            outcome.violations.iter().any(|v| v.rule == rule)
+        });
+        assert!(found, "nobody missed: {name}");
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -84,6 +84,7 @@
     /// Fails if the bounds leave no room for safe heartbeats.
     pub fn new(settings: Settings) -> Result<Self, BoundsError> {
         let times = settings.bounds.times()?;
+        let jobs = Jobs::new(settings.safeguards);
         let own = HostInfo {
             name: settings.name.clone(),
             address: settings.address,
@@ -97,7 +98,7 @@
             times,
             own,
             queues: None,
-            jobs: Jobs::default(),
+            jobs,
             calls: HashMap::new(),
             last_call: PEER_CALLS,
             started: None,
@@ -322,7 +323,8 @@
                 }));
             }
         }
-        for name in unvouched {
+        let lapses = self.settings.safeguards.vouches_lapse;
+        for name in unvouched.into_iter().filter(|_| lapses) {
             self.keeper.stop_owner(now, &name, u64::MAX, "owner silent");
         }
         for name in lost {
@@ -335,7 +337,10 @@
         let Some(peer) = self.peers.all.get_mut(name) else {
             return;
         };
-        let over = peer.acked.unwrap_or(now) + self.times.over;
+        let mut over = peer.acked.unwrap_or(now) + self.times.over;
+        if !self.settings.safeguards.lost_runs_are_waited_for {
+            over = now;
+        }
         peer.session += 1;
         peer.stops.clear();
         peer.stopping = None;
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -9,6 +9,7 @@
 use crate::message::{End, Rank, RunEnd, RunKey, TaskOrder, Urge, Want};
 use crate::note::{Cause, Note};
 use crate::queues::Queue;
+use crate::settings::Safeguards;
 use crate::spec::{JobSpec, Room};
 use crate::Millis;
 
@@ -159,6 +160,7 @@
 /// The jobs of the callers that are connected here.
 #[derive(Default)]
 pub struct Jobs {
+    safeguards: Safeguards,
     jobs: BTreeMap<Name, Job>,
     by_token: HashMap<Token, Name>,
     /// Jobs with tasks that wait, the most urgent first. Within a rank the
@@ -176,6 +178,15 @@
 }
 
 impl Jobs {
+    /// Creates an owner without jobs.
+    #[must_use]
+    pub fn new(safeguards: Safeguards) -> Self {
+        Self {
+            safeguards,
+            ..Self::default()
+        }
+    }
+
     /// Returns how many jobs are under way.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -587,9 +598,11 @@
             Cause::Done => Answer::Completed,
             Cause::Cancelled => Answer::Cancelled,
             Cause::Attempts => Answer::Failed,
-            _ if !job.may_have_begun() => Answer::Refused {
-                retry_after_ms: job.aim_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1),
-            },
+            _ if !job.may_have_begun() || !self.safeguards.begun_is_not_refused => {
+                Answer::Refused {
+                    retry_after_ms: job.aim_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1),
+                }
+            }
             _ => Answer::Unfinished,
         };
         for token in &job.tokens {
--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -8,7 +8,7 @@
 use crate::event::{CallId, SendFailure, TargetChange, TargetEntry, TargetReply};
 use crate::message::{End, FreeRoom, HostInfo, RunKey, TaskOrder, Want};
 use crate::note::Note;
-use crate::settings::{Settings, Times};
+use crate::settings::{Safeguards, Settings, Times};
 use crate::spec::Room;
 use crate::target::{Report, Stage, Target};
 use crate::{assignment, Millis};
@@ -72,6 +72,7 @@
 pub struct Keeper {
     name: Name,
     times: Times,
+    safeguards: Safeguards,
     epoch_ms: u64,
     unique: u64,
     targets: BTreeMap<Name, Target>,
@@ -105,6 +106,7 @@
         Self {
             name: settings.name.clone(),
             times,
+            safeguards: settings.safeguards,
             epoch_ms: settings.epoch_ms,
             unique: xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes()) % UNIQUE,
             targets: BTreeMap::new(),
@@ -185,7 +187,8 @@
 
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
         let listed = target.unlisted_since.is_none() || !self.list_settled(now);
-        listed && target.is_open(now) && !self.is_draining(now, target)
+        let leaving = target.entry.leaving && self.safeguards.leaving_is_heeded;
+        listed && !leaving && target.is_open(now) && !self.is_draining(now, target)
     }
 
     /// Tells whether a target that isn't listed is gone.
@@ -551,7 +554,8 @@
                 ended,
             }) => {
                 target.read_clock(now, clock);
-                let reports = target.list(now, asked, &running, &ended);
+                let settles = self.safeguards.newcomers_settle;
+                let reports = target.list(now, asked, &running, &ended, settles);
                 let pressing = target.is_pressing();
                 let idle = target.runs.is_empty() && !pressing;
                 target.next_hold = now + if idle { IDLE_LOOK_MS } else { 0 };
@@ -693,6 +697,9 @@
                 self.missed(now, id, "start");
                 return;
             }
+            Err(SendFailure::Unknown) if !self.safeguards.starts_are_doubted => {
+                target.end(now, key, End::Lost, "no reply")
+            }
             Err(SendFailure::Unknown) => {
                 target.doubt(key);
                 self.missed(now, id, "start");
@@ -766,7 +773,9 @@
 
     fn end_what_is_over(&mut self, now: Millis) {
         for target in self.targets.values_mut() {
-            if !target.runs.is_empty() && target.is_over(now) {
+            let waits = self.safeguards.silent_runs_are_waited_for;
+            let over = target.is_over(now) || (!waits && target.silent_since.is_some());
+            if !target.runs.is_empty() && over {
                 let reports = target.end_all(now, "hold over");
                 self.reports.extend(reports);
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 pub use dispatcher::Dispatcher;
 pub use event::{CallId, Event, SendFailure, TargetReply, Token};
 pub use note::Note;
-pub use settings::{Bounds, BoundsError, Settings};
+pub use settings::{Bounds, BoundsError, Safeguards, Settings};
 
 /// Milliseconds of this host's steady clock.
 pub type Millis = u64;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -99,6 +99,40 @@
     (ms as f64 / (1.0 - CLOCK_LOSS)).ceil() as Millis
 }
 
+/// Mechanisms that tests take out one at a time, to show that the checks miss
+/// them. Everywhere else all are there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Safeguards {
+    /// A keeper ends the runs of owners that it no longer hears.
+    pub vouches_lapse: bool,
+    /// A newcomer waits until nothing runs on a target that it doesn't know.
+    pub newcomers_settle: bool,
+    /// Runs at a lost peer are run again only once they are over.
+    pub lost_runs_are_waited_for: bool,
+    /// A start without reply counts as running until its end is known.
+    pub starts_are_doubted: bool,
+    /// Targets that leave get no new work.
+    pub leaving_is_heeded: bool,
+    /// A job that may have begun isn't refused as not run.
+    pub begun_is_not_refused: bool,
+    /// Runs on a target that doesn't answer are over after its hold.
+    pub silent_runs_are_waited_for: bool,
+}
+
+impl Default for Safeguards {
+    fn default() -> Self {
+        Self {
+            vouches_lapse: true,
+            newcomers_settle: true,
+            lost_runs_are_waited_for: true,
+            starts_are_doubted: true,
+            leaving_is_heeded: true,
+            begun_is_not_refused: true,
+            silent_runs_are_waited_for: true,
+        }
+    }
+}
+
 /// What a host is told of itself.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -116,4 +150,6 @@
     pub bounds: Bounds,
     /// Wall-clock time at which the steady clock was 0, in ms since 1970.
     pub epoch_ms: u64,
+    /// The mechanisms that are there.
+    pub safeguards: Safeguards,
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -194,11 +194,11 @@
         free
     }
 
-    /// Tells whether new tasks may be started.
+    /// Tells whether new tasks may be started, as far as the target itself has
+    /// shown; what the list says of it comes on top.
     #[must_use]
     pub fn is_open(&self, now: Millis) -> bool {
         self.stage == Stage::Kept
-            && !self.entry.leaving
             && self.silent_since.is_none()
             && self.suspended_until <= now
             && self.clock.is_some()
@@ -377,12 +377,15 @@
     }
 
     /// Takes a listing in that was asked for at `asked`; returns what ended.
+    ///
+    /// With `settles` a newcomer waits for runs that it doesn't know.
     pub fn list(
         &mut self,
         now: Millis,
         asked: Millis,
         running: &[RunKey],
         ended: &[ListedEnd],
+        settles: bool,
     ) -> Vec<Report> {
         let mut reports = Vec::new();
         for end in ended {
@@ -407,6 +410,7 @@
         }
         if self.stage == Stage::Taking || self.stage == Stage::Settling {
             let known = running.iter().all(|key| self.runs.contains_key(key));
+            let known = known || !settles;
             self.stage = if known { Stage::Kept } else { Stage::Settling };
             if known {
                 self.kept_since = now;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -108,6 +108,7 @@
             seeds: Vec::new(),
             bounds: BOUNDS,
             epoch_ms: 1_760_000_000_000,
+            safeguards: gannetridge_dispatch::Safeguards::default(),
         };
         let mut rig = Self {
             host: Dispatcher::new(settings).unwrap(),
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -6,7 +6,7 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
-use gannetridge_dispatch::{Dispatcher, Millis};
+use gannetridge_dispatch::{Dispatcher, Millis, Safeguards};
 use gannetridge_net::{bind, serve, Client, ClientLimits, HttpReply, HttpRequest, ServerLimits};
 use http::StatusCode;
 use local_sync::mpsc::unbounded;
@@ -95,6 +95,7 @@
         seeds: settings.seeds.clone(),
         bounds: settings.bounds.bounds(),
         epoch_ms,
+        safeguards: Safeguards::default(),
     })?;
     let info = dispatcher.info().clone();
     let (tx, rx) = unbounded::channel();
