--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -13,9 +13,7 @@
 use crate::target::{Report, Stage, Target};
 use crate::{assignment, Millis};
 
-/// How long a target may wait for an end before it answers a hold.
-const HOLD_WAIT_MS: Millis = 150;
-/// The same where an end is awaited that other news may show.
+/// How long a target may wait for an end before it answers a hold, where an end is awaited that other news may show.
 const PRESSING_WAIT_MS: Millis = 20;
 /// How long a reply from a target is awaited, its own waiting aside.
 const REPLY_WAIT_MS: Millis = 200;
@@ -829,7 +827,7 @@
         } else if target.is_pressing() {
             PRESSING_WAIT_MS
         } else {
-            HOLD_WAIT_MS
+            times.hold_wait
         };
         let order = TargetCall::Hold {
             until,
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -17,6 +17,10 @@
 const HOLD_SHARE: f64 = 0.5;
 /// Heartbeats within one vouch: one may be lost, and the next one come late.
 const BEATS_PER_VOUCH: Millis = 4;
+/// Calls that hold within one hold: some may be late, or lost.
+const HOLDS_IN_ONE: Millis = 3;
+/// Longer waits for an end would spare few calls.
+const LONGEST_HOLD_WAIT_MS: Millis = 150;
 /// The shortest vouch that heartbeats over HTTP can keep up.
 const LEAST_VOUCH_MS: Millis = 100;
 
@@ -58,6 +62,8 @@
     pub hold_true: Millis,
     /// How long an owner's runs go on after its keeper last heard of it.
     pub vouch: Millis,
+    /// How long a target may wait for an end before it answers a hold.
+    pub hold_wait: Millis,
     /// From one heartbeat to the next.
     pub beat: Millis,
     /// From the last acknowledgement until runs there are over for sure.
@@ -87,6 +93,7 @@
             hold,
             hold_true,
             vouch,
+            hold_wait: (hold / HOLDS_IN_ONE).min(LONGEST_HOLD_WAIT_MS),
             beat: vouch / BEATS_PER_VOUCH,
             over: vouch + hold_true + self.stop_grace_ms,
         })
--- /dev/null
+++ b/crates/dispatch/tests/bounds.rs
@@ -0,0 +1,46 @@
+//! Times that follow from a deployment's bounds.
+
+use gannetridge_dispatch::settings::on_true_clock;
+use gannetridge_dispatch::{Bounds, BoundsError};
+
+fn bounds(retransmit_ms: u64, max_hold_ms: u64, stop_grace_ms: u64) -> Bounds {
+    Bounds {
+        retransmit_ms,
+        max_hold_ms,
+        stop_grace_ms,
+        grace_period_ms: 6_000,
+        drain_ms: 2_000,
+    }
+}
+
+/// Declares tests, each a name and the bounds of a deployment.
+macro_rules! kept {
+    ($($name:ident: $bounds:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let bounds = $bounds;
+            let times = bounds.times().unwrap();
+            // A run whose owner is gone is over before its caller comes again.
+            let over = times.vouch + on_true_clock(times.hold) + bounds.stop_grace_ms;
+            assert!(over < bounds.retransmit_ms, "{times:?}");
+            assert_eq!(over, times.over);
+            assert!(times.hold <= bounds.max_hold_ms);
+            // Neither a lost heartbeat nor a late hold ends a run.
+            assert!(3 * times.beat < times.vouch, "{times:?}");
+            assert!(2 * times.hold_wait < times.hold, "{times:?}");
+        })+
+    };
+}
+
+kept! {
+    the_users_bounds: bounds(1_300, 1_000, 50);
+    short_holds: bounds(1_300, 200, 50);
+    callers_in_a_hurry: bounds(600, 1_000, 20);
+    patient_callers: bounds(10_000, 2_000, 500);
+}
+
+#[test]
+fn callers_that_come_too_soon_are_refused_at_the_start() {
+    let refused = bounds(300, 1_000, 50).times();
+    assert!(matches!(refused, Err(BoundsError::TooTight { .. })));
+}
