Take one lost answer for less, and leave unheard hosts their targets

(1) One call without reply closed a target until the next answer, and ends were heard 350 ms late. (2) A host cut off from the others took all 48 targets, and lost them again one by one. (3) A slow target showed its pace only after its first end. Change: two misses on end are silence, replies are awaited 100 ms (starts 150); a host that hears less than half of the others leaves their targets alone for 8 s; who kept a target for 3 s takes it back however often it is taken; runs that are overdue count as the target's pace, and a crawling target gets one task at a time. Tests: peers.rs, keeping.rs.

--- a/crates/dispatch/src/keeper.rs
+++ b/crates/dispatch/src/keeper.rs
@@ -16,7 +16,10 @@
 /// How long a target may wait for an end before it answers a hold, where an end is awaited that other news may show.
 const PRESSING_WAIT_MS: Millis = 20;
 /// How long a reply from a target is awaited, its own waiting aside.
-const REPLY_WAIT_MS: Millis = 200;
+const REPLY_WAIT_MS: Millis = 100;
+/// How long the reply to a start is awaited: whether it began is in doubt
+/// after that, and it is stopped.
+const START_WAIT_MS: Millis = 150;
 /// Between calls to a target that doesn't answer.
 const RETRY_MS: Millis = 100;
 /// Between looks at a target on which nothing runs.
@@ -24,7 +27,7 @@
 /// A keeper of this long takes a target back when another host took it.
 const SETTLED_MS: Millis = 3_000;
 /// How long a target is left to the host that took it; doubles each time.
-const BARRED_MS: Millis = 1_000;
+const BARRED_MS: Millis = 2_000;
 /// The longest that a target is left to another host.
 const LONGEST_BARRED_MS: Millis = 16_000;
 /// Losses of a target are forgotten when it was kept for this long.
@@ -210,7 +213,7 @@
         let open = open.filter(|target| self.is_usable(now, target));
         let open = open.filter(|target| !target.is_offered_to_others(now, owner));
         let fitting = open.filter(|target| target.suits(order) && target.fits(order));
-        let best = fitting.min_by(|a, b| a.cost(order).total_cmp(&b.cost(order)));
+        let best = fitting.min_by(|a, b| a.cost(now, order).total_cmp(&b.cost(now, order)));
         let Some(id) = best.map(|target| target.entry.id.clone()) else {
             return false;
         };
@@ -237,7 +240,7 @@
             specification: order.specification.clone(),
             until,
         });
-        self.call(id, purpose, start, REPLY_WAIT_MS);
+        self.call(id, purpose, start, START_WAIT_MS);
     }
 
     fn call(&mut self, id: &Name, purpose: Purpose, order: TargetCall, wait_ms: Millis) -> CallId {
@@ -492,6 +495,7 @@
         if let Some(target) = self.targets.get_mut(id) {
             target.take(now, fence);
             target.tokens_tried = 0;
+            target.incumbent_since = None;
             self.ours.insert(id.clone());
             self.note_target(id, "taking", "assignment");
         }
@@ -580,7 +584,12 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        let first = target.missed(now);
+        if !target.missed(now) {
+            // One lost answer is not silence.
+            target.next_hold = now;
+            return;
+        }
+        let first = target.silent_since == Some(now);
         let retry = if target.stage == Stage::Taking {
             TAKE_RETRY_MS
         } else {
@@ -626,9 +635,12 @@
         if held_long {
             target.losses = 0;
         }
+        // Who kept it for long has the better right, however often others
+        // that don't see this host come.
+        let since = target.kept_since;
         target.take(now, fence);
         target.tokens_tried = if too_low { tried + 1 } else { 0 };
-        target.kept_since = now;
+        target.incumbent_since = (!too_low).then_some(since);
         self.note_target(id, "taking back", "fenced");
     }
 
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -15,6 +15,9 @@
 
 /// A peer's targets are left to it for this many vouches since it was heard.
 const DEAD_AFTER_VOUCHES: Millis = 2;
+/// A host that hears less than half of the others may be the one that is cut
+/// off: it leaves their targets to them for so long after it last heard them.
+const ISOLATED_MS: Millis = 8_000;
 /// Between heartbeats to a peer that doesn't answer.
 const SILENT_BEAT_MS: Millis = 500;
 /// Hosts that were never heard for this long are forgotten.
@@ -116,6 +119,11 @@
         heard && !self.refused
     }
 
+    /// Tells whether it was heard of late and isn't known to be gone.
+    fn was_there(&self, now: Millis) -> bool {
+        self.acked.is_some() && !self.refused && self.heard + ISOLATED_MS > now
+    }
+
     /// Tells whether tasks may be handed to it.
     #[must_use]
     pub fn takes_tasks(&self, now: Millis, times: &Times) -> bool {
@@ -217,11 +225,29 @@
         others.chain(own).collect()
     }
 
-    /// Tells whether another living host looks after a target.
+    /// Tells whether another host looks after a target: one that lives, or one
+    /// that this host may only not hear.
     #[must_use]
     pub fn is_kept(&self, now: Millis, target: &Name) -> bool {
+        let isolated = self.is_isolated(now);
         let mut peers = self.all.values();
-        peers.any(|p| p.holds_targets(now, &self.times) && p.kept.contains(target))
+        peers.any(|peer| {
+            let unheard = isolated && peer.was_there(now);
+            let there = peer.holds_targets(now, &self.times) || unheard;
+            there && peer.kept.contains(target)
+        })
+    }
+
+    /// Tells whether less than half of the hosts that were there of late are
+    /// heard. Hosts whose address refuses connections are gone, not unheard.
+    fn is_isolated(&self, now: Millis) -> bool {
+        let peers = self.all.values().filter(|peer| peer.was_there(now));
+        let (mut heard, mut all) = (1, 1);
+        for peer in peers {
+            all += 1;
+            heard += usize::from(peer.holds_targets(now, &self.times));
+        }
+        2 * heard < all
     }
 
     /// Takes what every reply says; returns whether the peer's process is
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -18,8 +18,16 @@
 const FIRST_SUSPENSION_MS: Millis = 1_000;
 /// The longest that a target is left alone.
 const LONGEST_SUSPENSION_MS: Millis = 8_000;
+/// Calls without reply on end after which a target is taken to be silent.
+const MISSES_TO_SILENCE: u32 = 2;
 /// The weight of the last run in the target's pace.
-const PACE_WEIGHT: f64 = 0.25;
+const PACE_WEIGHT: f64 = 0.4;
+/// A run that goes on for this many times its estimate shows a slow target.
+const SLOW_FACTOR: f64 = 1.8;
+/// Estimates of short tasks are off by this much besides.
+const SLOW_MS: f64 = 30.0;
+/// A target of this pace gets one task at a time.
+const CRAWL: f64 = 3.0;
 /// A run is taken to stand still after this many times its estimate ...
 const OVERRUN_FACTOR: f64 = 4.0;
 /// ... and this long on top.
@@ -109,6 +117,11 @@
     pub next_hold: Millis,
     /// Since when it hasn't answered, if it doesn't.
     pub silent_since: Option<Millis>,
+    /// Calls without reply since the last one.
+    misses: u32,
+    /// Since when it was kept before another host took it, while it is taken
+    /// back.
+    pub incumbent_since: Option<Millis>,
     /// Its free room is kept for this host until then.
     pub offered: Option<(Name, Millis)>,
     /// By then, on our clock, everything that runs there is over.
@@ -155,6 +168,8 @@
             holding: None,
             next_hold: 0,
             silent_since: None,
+            misses: 0,
+            incumbent_since: None,
             offered: None,
             over_by: 0,
             clock: None,
@@ -202,8 +217,9 @@
             && self.silent_since.is_none()
             && self.suspended_until <= now
             && self.clock.is_some()
-            // After a suspension one task shows whether it is well again.
-            && (self.failures < FAILURES_TO_SUSPEND || self.runs.is_empty())
+            // One task shows whether it is well again.
+            && ((self.failures < FAILURES_TO_SUSPEND && self.pace < CRAWL)
+                || self.runs.is_empty())
     }
 
     /// Tells whether the free room is kept for another host than `owner`.
@@ -238,17 +254,31 @@
     /// Returns how badly an order is placed here: slow targets last, and
     /// among like ones the fullest first, so that large tasks find room.
     #[must_use]
-    pub fn cost(&self, order: &TaskOrder) -> f64 {
+    pub fn cost(&self, now: Millis, order: &TaskOrder) -> f64 {
         let left = self.free().less(&order.room).cpu;
         let size = self.entry.capacity.cpu.max(1);
         let far = order
             .rack
             .as_ref()
             .is_some_and(|rack| !self.entry.labels.contains(rack));
-        let pace = if far { self.pace * 1.5 } else { self.pace };
+        let pace = self.pace.max(self.slowness(now));
+        let pace = if far { pace * 1.5 } else { pace };
         pace.max(0.5) + 0.5 * f64::from(left) / f64::from(size) + 0.3 * f64::from(self.failures)
     }
 
+    /// Returns the pace that runs under way show, 1 while none is overdue.
+    fn slowness(&self, now: Millis) -> f64 {
+        let paces = self.runs.values().map(|run| {
+            let since = now.saturating_sub(run.started) as f64 - SLOW_MS;
+            since / run.estimate_ms.max(1) as f64
+        });
+        let slowest = paces.fold(1.0, f64::max);
+        if slowest < SLOW_FACTOR {
+            return 1.0;
+        }
+        slowest
+    }
+
     /// Takes an order in; returns the latest begin on the target's clock.
     ///
     /// # Panics
@@ -299,13 +329,18 @@
             clock,
         });
         self.silent_since = None;
+        self.misses = 0;
     }
 
-    /// Takes note that a call had no reply.
+    /// Takes note that a call had no reply; tells whether it is silent: after
+    /// some misses on end.
     pub fn missed(&mut self, now: Millis) -> bool {
-        let first = self.silent_since.is_none();
-        self.silent_since.get_or_insert(now);
-        first
+        self.misses += 1;
+        let silent = self.misses >= MISSES_TO_SILENCE || self.stage != Stage::Kept;
+        if silent {
+            self.silent_since.get_or_insert(now);
+        }
+        silent
     }
 
     /// Takes note that the target took a start.
@@ -413,7 +448,7 @@
             let known = known || !settles;
             self.stage = if known { Stage::Kept } else { Stage::Settling };
             if known {
-                self.kept_since = now;
+                self.kept_since = self.incumbent_since.unwrap_or(now);
             }
         }
         reports
--- a/crates/dispatch/tests/keeping.rs
+++ b/crates/dispatch/tests/keeping.rs
@@ -164,3 +164,23 @@
         "gone, two seconds after the return"
     );
 });
+
+case!(one_lost_answer_does_not_close_a_target, {
+    let mut rig = Rig::keeping(&[target("near", 24)]);
+    started(&mut rig, ID);
+    let (call, _) = rig.holds().remove(0);
+    rig.pass(250);
+    rig.event(Event::TargetReply {
+        call,
+        reply: Err(SendFailure::Unknown),
+    });
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 300)], 3_000);
+    assert_eq!(rig.starts().len(), 1);
+    let (call, _) = rig.holds().remove(0);
+    rig.event(Event::TargetReply {
+        call,
+        reply: Err(SendFailure::Unknown),
+    });
+    rig.submit(3, "00000000000000cc", vec![step(1, 7_000, 300)], 3_000);
+    assert!(rig.starts().is_empty(), "two on end are silence");
+});
--- /dev/null
+++ b/crates/dispatch/tests/peers.rs
@@ -0,0 +1,150 @@
+//! Other hosts, and what is believed of them.
+
+mod support;
+
+use gannetridge_dispatch::event::SendFailure;
+use gannetridge_dispatch::message::{ReplyBody, Request};
+use gannetridge_dispatch::{Answer, Event, TargetReply};
+use support::{case, peer_info, step, target, Rig};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+/// A host that knows a peer, which keeps the target `far`.
+fn with_peer(free_cpu: u32) -> Rig {
+    let mut rig = Rig::new();
+    rig.event(Event::HostsRead(vec![peer_info()]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    for _ in 0..100 {
+        rig.pass(10);
+        rig.answer_beats(free_cpu);
+    }
+    assert!(rig.holds().is_empty(), "the peer keeps it");
+    rig
+}
+
+case!(a_silent_peers_targets_are_taken_after_two_vouches, {
+    let mut rig = with_peer(0);
+    rig.pass(900);
+    assert!(rig.holds().is_empty(), "it may only be slow to answer");
+    rig.pass(400);
+    assert_eq!(rig.holds().len(), 1);
+});
+
+case!(a_refused_peers_targets_are_taken_at_once, {
+    let mut rig = with_peer(0);
+    rig.pass(200);
+    let beats = rig.requests(|request| matches!(request, Request::Beat(_)));
+    rig.event(Event::PeerReply {
+        call: beats[0].0,
+        reply: Err(SendFailure::Refused),
+    });
+    rig.pass(60);
+    assert_eq!(rig.holds().len(), 1);
+});
+
+case!(a_host_that_hears_few_leaves_their_targets_alone, {
+    let mut rig = Rig::new();
+    let mut others = Vec::new();
+    for port in 3..6 {
+        let mut info = peer_info();
+        info.name = format!("peer-{port}").into();
+        info.address.set_port(port);
+        others.push(info);
+    }
+    rig.event(Event::HostsRead(others));
+    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    for _ in 0..100 {
+        rig.pass(10);
+        rig.answer_beats(0);
+    }
+    // All three fall silent together: more likely this host is cut off.
+    rig.pass(7_000);
+    assert!(rig.holds().is_empty());
+    rig.pass(2_000);
+    assert_eq!(rig.holds().len(), 1, "or they are gone after all");
+});
+
+case!(
+    an_incumbent_takes_a_target_back_however_often_it_is_taken,
+    {
+        let mut rig = Rig::keeping(&[target("near", 16)]);
+        rig.pass(3_100);
+        for _ in 0..3 {
+            for (call, _) in rig.holds() {
+                let clock = rig.now + 500_000;
+                rig.target_reply(call, TargetReply::Fenced { clock });
+            }
+            let taking = rig.holds();
+            assert_eq!(taking.len(), 1, "it is taken back at once");
+            rig.listing(taking[0].0, &[], &[]);
+            rig.pass(3_000);
+        }
+    }
+);
+
+case!(a_lost_peers_runs_are_tried_again_only_once_over, {
+    let mut rig = with_peer(16_000);
+    rig.submit(1, ID, vec![step(1, 7_000, 900)], 6_000);
+    let asked = rig.requests(|request| matches!(request, Request::Place(_)));
+    let reply = Ok(rig.reply(ReplyBody::Placed(vec![0]), 0));
+    rig.event(Event::PeerReply {
+        call: asked[0].0,
+        reply,
+    });
+    let last_heard = rig.now;
+    let mut place = Vec::new();
+    while place.is_empty() {
+        rig.pass(10);
+        assert!(rig.now < last_heard + 5_000, "it is tried again");
+        for (call, _) in rig.holds() {
+            rig.listing(call, &[], &[]);
+        }
+        place = rig.starts();
+    }
+    let over = support::BOUNDS.times().unwrap().over;
+    assert!(
+        rig.now >= last_heard + over,
+        "{} after {last_heard}",
+        rig.now
+    );
+    assert_eq!(place[0].2.run, 2);
+});
+
+case!(work_is_taken_only_from_hosts_that_vouch_for_it, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    let order = gannetridge_dispatch::message::TaskOrder {
+        key: gannetridge_dispatch::message::RunKey {
+            task: "00000000000000aa.0.0.0".into(),
+            run: 1,
+        },
+        specification: "work".into(),
+        pool: "pool".into(),
+        room: support::room(7_000),
+        estimate_ms: 900,
+        requirement: None,
+        rack: None,
+        spread: None,
+        avoid: Vec::new(),
+    };
+    rig.peer_asks(1, Request::Place(vec![order.clone()]));
+    assert!(matches!(rig.replies[0].1.body, ReplyBody::Placed(_)));
+    assert_eq!(rig.starts().len(), 1);
+    // The peer falls silent: its run is ended, and late orders are stale.
+    rig.pass(600);
+    assert_eq!(rig.stops(), vec![order.key]);
+});
+
+case!(a_task_that_found_no_room_is_taken_by_an_offer, {
+    let mut rig = with_peer(0);
+    rig.submit(1, ID, vec![step(1, 7_000, 300)], 3_000);
+    let wants = rig.requests(|request| matches!(request, Request::Want(Some(_))));
+    assert_eq!(wants.len(), 1);
+    let free = gannetridge_dispatch::message::FreeRoom {
+        pool: "pool".into(),
+        room: support::room(8_000),
+    };
+    rig.peer_asks(1, Request::Offer(free));
+    assert!(matches!(rig.replies[0].1.body, ReplyBody::Interested(true)));
+    assert_eq!(rig.requests(|r| matches!(r, Request::Place(_))).len(), 1);
+    assert_eq!(rig.answer_to(1), None::<&Answer>);
+});
