--- /dev/null
+++ b/crates/dispatch-lab/src/world/answers.rs
@@ -0,0 +1,132 @@
+//! Callers that submit, wait, leave and come again.
+
+use super::*;
+
+impl World {
+    pub(super) fn new_job(&mut self) {
+        if self.now >= self.scenario.load_ms {
+            return;
+        }
+        let number = self.callers.len() as u64;
+        let caller = Caller::draw(&mut self.rng, number, self.now);
+        let step = &caller.spec.steps[0];
+        let work = (step.room, step.estimate_ms);
+        self.rooms.insert(caller.id.clone(), work);
+        let index = self.callers.len();
+        self.at(caller.until, Happening::Deadline(index));
+        if self.rng.random_bool(0.1) {
+            let after = self.rng.random_range(10..600);
+            self.at(self.now + after, Happening::Leave(index));
+        }
+        self.callers.push(caller);
+        self.outcome.jobs += 1;
+        self.at(self.now, Happening::Try(index));
+        let gap = 1_000.0 / self.scenario.jobs_per_s;
+        let gap = self.rng.random_range(0.0..2.0 * gap) as Millis;
+        self.at(self.now + gap.max(1), Happening::NewJob);
+    }
+
+    pub(super) fn try_at(&mut self, index: usize) {
+        let caller = &self.callers[index];
+        if caller.over || caller.until <= self.now {
+            return;
+        }
+        let host = self.rng.random_range(0..self.hosts.len());
+        if !self.hosts[host].up {
+            self.come_again(index);
+            return;
+        }
+        self.tokens += 1;
+        let token = self.tokens;
+        let submit = self.callers[index].submit(self.now);
+        self.callers[index].waits_at = Some((host, token));
+        self.callers[index].tried = self.now;
+        let there = &mut self.hosts[host];
+        there.callers.insert(token, index);
+        let life = there.life;
+        let token = Token(token);
+        self.give(host, life, Event::Submit { token, submit });
+    }
+
+    pub(super) fn come_again(&mut self, index: usize) {
+        let again = self.now + self.scenario.bounds.retransmit_ms;
+        self.at(again, Happening::Try(index));
+    }
+
+    pub(super) fn answer(&mut self, host: usize, token: u64, answer: &Answer) {
+        let Some(index) = self.hosts[host].callers.remove(&token) else {
+            return;
+        };
+        self.callers[index].waits_at = None;
+        if self.callers[index].over {
+            return;
+        }
+        let (id, tasks) = (self.callers[index].id.clone(), self.callers[index].tasks);
+        let seen = Some(answer);
+        self.checks
+            .answered(self.now, &id, tasks, MAX_ATTEMPTS, seen);
+        let kind = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::Refused { .. } => "refused",
+            Answer::NotReady => "not ready",
+            Answer::Unfinished => "unfinished",
+            _ => "other",
+        };
+        *self.outcome.answers.entry(kind).or_default() += 1;
+        if *answer == Answer::Unfinished {
+            self.come_again(index);
+        } else {
+            self.callers[index].over = true;
+        }
+    }
+
+    /// A caller's connection broke without an answer.
+    pub(super) fn broken(&mut self, index: usize) {
+        self.callers[index].waits_at = None;
+        if !self.callers[index].over {
+            let (id, tasks) = (self.callers[index].id.clone(), self.callers[index].tasks);
+            self.checks
+                .answered(self.now, &id, tasks, MAX_ATTEMPTS, None);
+            self.come_again(index);
+        }
+    }
+
+    pub(super) fn deadline(&mut self, index: usize) {
+        let caller = &mut self.callers[index];
+        if let (false, Some((host, token))) = (caller.over, caller.waits_at) {
+            let (id, tasks) = (caller.id.clone(), caller.tasks);
+            // A host that stood still meanwhile may be late, and a try in the
+            // last moment has no time for an answer.
+            let there = &self.hosts[host];
+            let frozen = there.frozen || there.woke >= self.callers[index].tried;
+            let hurried = self.callers[index].tried + HURRY_MS > self.now;
+            if !frozen && !hurried {
+                self.checks.unanswered(self.now, &id);
+            }
+            self.checks
+                .answered(self.now, &id, tasks, MAX_ATTEMPTS, None);
+            self.gone(index, host, token);
+        }
+        self.callers[index].over = true;
+    }
+
+    pub(super) fn leave(&mut self, index: usize) {
+        let caller = &self.callers[index];
+        if let (false, Some((host, token))) = (caller.over, caller.waits_at) {
+            let (id, tasks) = (caller.id.clone(), caller.tasks);
+            self.checks
+                .answered(self.now, &id, tasks, MAX_ATTEMPTS, None);
+            self.gone(index, host, token);
+        }
+        self.callers[index].over = true;
+    }
+
+    pub(super) fn gone(&mut self, index: usize, host: usize, token: u64) {
+        self.callers[index].over = true;
+        self.callers[index].waits_at = None;
+        self.hosts[host].callers.remove(&token);
+        let token = Token(token);
+        self.tell(host, 1, Event::CallerGone { token });
+    }
+}
--- /dev/null
+++ b/crates/dispatch-lab/src/world/mod.rs
@@ -0,0 +1,493 @@
+//! Hosts, targets, callers and the network between them, as one queue of
+//! things to happen.
+
+mod answers;
+mod network;
+mod trouble;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+
+use gannetridge_dispatch::event::{TargetChange, TargetEntry};
+use gannetridge_dispatch::message::{Envelope, HostInfo, Reply};
+use gannetridge_dispatch::queues::{Queue, Queues};
+use gannetridge_dispatch::spec::Room;
+use gannetridge_dispatch::{
+    Action, Answer, CallId, Dispatcher, Event, Millis, RunOrder, SendFailure, Settings, TargetCall,
+    TargetReply, Token,
+};
+use gannetridge_wire::Name;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::callers::Caller;
+use crate::checks::Checks;
+use crate::faults::{self, Fault};
+use crate::scenario::{Outcome, Scenario};
+use crate::target::{Mood, Run, Target};
+
+/// Between looks at what runs on targets.
+const STEP_MS: Millis = 5;
+/// From a change of the list until hosts hear of it.
+const NEWS_MS: Millis = 250;
+/// From a target's silent death until its entry goes.
+const LAPSE_MS: Millis = 4_500;
+/// A caller with less time than this may get no answer in time.
+const HURRY_MS: Millis = 50;
+/// After the load, time for the last answers.
+const AFTER_MS: Millis = 8_000;
+/// Faults begin when hosts have found each other.
+const QUIET_MS: Millis = 2_000;
+/// The part of calls that are hit while they get late, or their answers lost.
+const HIT: f64 = 0.1;
+/// The wall clock's time when the run begins.
+const EPOCH_MS: u64 = 1_760_000_000_000;
+/// How often a task may fail.
+const MAX_ATTEMPTS: u32 = 2;
+
+struct Host {
+    info: HostInfo,
+    dispatcher: Dispatcher,
+    /// World time at which this life's clock was 0.
+    base: Millis,
+    life: u64,
+    up: bool,
+    frozen: bool,
+    /// When it last began to run again.
+    woke: Millis,
+    tick_at: Millis,
+    queue: Vec<Event>,
+    /// Callers that wait here, by token.
+    callers: HashMap<u64, usize>,
+    /// Peers that wait here, by token.
+    peers: HashMap<u64, Pending>,
+}
+
+#[derive(Clone, Copy)]
+struct Pending {
+    host: usize,
+    life: u64,
+    call: CallId,
+}
+
+struct WaitingHold {
+    pending: Pending,
+    target: usize,
+    id: Name,
+    until: Millis,
+}
+
+enum Happening {
+    Step,
+    Tick {
+        host: usize,
+        life: u64,
+    },
+    Event {
+        host: usize,
+        life: u64,
+        event: Box<Event>,
+    },
+    Call {
+        pending: Pending,
+        to: usize,
+        envelope: Box<Envelope>,
+    },
+    Reply {
+        pending: Pending,
+        reply: Box<Reply>,
+    },
+    Missed {
+        pending: Pending,
+        peer: bool,
+        why: SendFailure,
+    },
+    Target {
+        pending: Pending,
+        target: usize,
+        id: Name,
+        fence: u64,
+        order: TargetCall,
+        lost: bool,
+    },
+    TargetReply {
+        pending: Pending,
+        reply: TargetReply,
+    },
+    NewJob,
+    Try(usize),
+    Deadline(usize),
+    Leave(usize),
+    Fault,
+    Over(Fault),
+    Restart(usize),
+    NewTarget(usize),
+    Lapse(Name),
+    ReadAgain(usize),
+}
+
+/// Everything.
+pub struct World {
+    scenario: Scenario,
+    rng: Pcg64,
+    now: Millis,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    happenings: HashMap<u64, Happening>,
+    hosts: Vec<Host>,
+    targets: Vec<Target>,
+    lives: u64,
+    calls: HashSet<(usize, u64, CallId)>,
+    holds: Vec<WaitingHold>,
+    callers: Vec<Caller>,
+    tokens: u64,
+    rooms: HashMap<Name, (Room, Millis)>,
+    cut_peers: BTreeMap<usize, u32>,
+    cut_targets: BTreeMap<usize, u32>,
+    cut_halls: BTreeMap<usize, u32>,
+    cut_target: BTreeMap<usize, u32>,
+    late: u32,
+    lost_answers: u32,
+    lossy_peers: u32,
+    store_out: u32,
+    store_troubled: Millis,
+    leaving_since: HashMap<Name, Millis>,
+    checks: Checks,
+    outcome: Outcome,
+}
+
+impl World {
+    /// Builds a world.
+    #[must_use]
+    pub fn new(scenario: &Scenario) -> Self {
+        let mut world = Self {
+            scenario: *scenario,
+            rng: Pcg64::seed_from_u64(scenario.seed),
+            now: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            hosts: Vec::new(),
+            targets: Vec::new(),
+            lives: 0,
+            calls: HashSet::new(),
+            holds: Vec::new(),
+            callers: Vec::new(),
+            tokens: 0,
+            rooms: HashMap::new(),
+            cut_peers: BTreeMap::new(),
+            cut_targets: BTreeMap::new(),
+            cut_halls: BTreeMap::new(),
+            cut_target: BTreeMap::new(),
+            late: 0,
+            lost_answers: 0,
+            lossy_peers: 0,
+            store_out: 0,
+            store_troubled: 0,
+            leaving_since: HashMap::new(),
+            checks: Checks::default(),
+            outcome: Outcome::default(),
+        };
+        for index in 0..scenario.halls * scenario.targets {
+            let target = world.new_target(index);
+            world.targets.push(target);
+        }
+        for index in 0..scenario.halls * scenario.hosts {
+            let host = world.new_host(index);
+            world.hosts.push(host);
+            world.welcome(index);
+        }
+        world.at(0, Happening::Step);
+        world.at(QUIET_MS, Happening::NewJob);
+        if scenario.fault_gap_ms > 0 {
+            world.at(QUIET_MS, Happening::Fault);
+        }
+        world
+    }
+
+    fn hall_of_host(&self, host: usize) -> usize {
+        host / self.scenario.hosts
+    }
+
+    fn hall_of_target(&self, target: usize) -> usize {
+        target / self.scenario.targets
+    }
+
+    fn new_target(&mut self, index: usize) -> Target {
+        self.lives += 1;
+        let hall = self.hall_of_target(index);
+        let cores = if index % 3 == 0 { 24 } else { 16 };
+        let entry = TargetEntry {
+            id: format!("t{index}-{}", self.lives).into(),
+            address: format!("{index}").into(),
+            hall: format!("hall-{hall}").into(),
+            pool: "pool".into(),
+            capacity: Room {
+                cpu: cores * 1_000,
+                memory_mb: 32_768,
+                gpus: 0,
+            },
+            labels: vec!["a".into()],
+            leaving: false,
+        };
+        let rate = self.rng.random_range(0.98..=1.0);
+        let longest = self.scenario.bounds.max_hold_ms;
+        Target::new(entry, self.scenario.guards, rate, longest)
+    }
+
+    fn new_host(&mut self, index: usize) -> Host {
+        self.lives += 1;
+        let hall = self.hall_of_host(index);
+        let skew = self.rng.random_range(0..100);
+        let base = self.now;
+        let info = HostInfo {
+            name: format!("host-{index}").into(),
+            address: format!("127.0.0.1:{}", 1_000 + index)
+                .parse()
+                .expect("an address"),
+            hall: format!("hall-{hall}").into(),
+            incarnation: EPOCH_MS + self.now,
+        };
+        let settings = Settings {
+            name: info.name.clone(),
+            address: info.address,
+            hall: info.hall.clone(),
+            incarnation: info.incarnation,
+            seeds: vec!["127.0.0.1:1000".parse().expect("an address")],
+            bounds: self.scenario.bounds,
+            epoch_ms: EPOCH_MS + base + skew,
+            safeguards: self.scenario.safeguards,
+        };
+        Host {
+            info,
+            dispatcher: Dispatcher::new(settings).expect("the bounds leave room"),
+            base,
+            life: self.lives,
+            up: true,
+            frozen: false,
+            woke: 0,
+            tick_at: 0,
+            queue: Vec::new(),
+            callers: HashMap::new(),
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Tells a new host what the store holds.
+    fn welcome(&mut self, host: usize) {
+        let life = self.hosts[host].life;
+        self.at(self.now + 1, Happening::Tick { host, life });
+        if self.store_out == 0 {
+            let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
+            for event in [
+                Event::QueuesRead(queues()),
+                Event::TargetsRead(self.list()),
+                Event::HostsRead(hosts),
+            ] {
+                self.tell(host, 10, event);
+            }
+        }
+    }
+
+    fn list(&self) -> Vec<TargetEntry> {
+        let listed = self.targets.iter().filter(|target| target.up);
+        listed.map(|target| target.entry.clone()).collect()
+    }
+
+    fn at(&mut self, time: Millis, happening: Happening) {
+        self.sequence += 1;
+        self.queue
+            .push(Reverse((time.max(self.now), self.sequence)));
+        self.happenings.insert(self.sequence, happening);
+    }
+
+    fn tell(&mut self, host: usize, after: Millis, event: Event) {
+        let life = self.hosts[host].life;
+        let event = Box::new(event);
+        self.at(self.now + after, Happening::Event { host, life, event });
+    }
+
+    /// Runs to the end.
+    #[must_use]
+    pub fn run(mut self) -> Outcome {
+        let end = self.scenario.load_ms + AFTER_MS;
+        while let Some(Reverse((time, sequence))) = self.queue.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            let happening = self.happenings.remove(&sequence).expect("it was put there");
+            self.happen(happening);
+        }
+        self.checks.finish(self.now);
+        self.outcome.starts = self.checks.starts;
+        self.outcome.violations = self.checks.violations;
+        self.outcome
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Step => self.step(),
+            Happening::Tick { host, life } => self.tick(host, life),
+            Happening::Event { host, life, event } => self.give(host, life, *event),
+            Happening::Call {
+                pending,
+                to,
+                envelope,
+            } => self.peer_called(pending, to, envelope),
+            Happening::Reply { pending, reply } => {
+                let event = |call| Event::PeerReply {
+                    call,
+                    reply: Ok(reply),
+                };
+                self.come_back(pending, event);
+            }
+            Happening::Missed { pending, peer, why } => {
+                let event = |call| {
+                    if peer {
+                        let reply = Err(why);
+                        Event::PeerReply { call, reply }
+                    } else {
+                        let reply = Err(why);
+                        Event::TargetReply { call, reply }
+                    }
+                };
+                self.come_back(pending, event);
+            }
+            Happening::Target {
+                pending,
+                target,
+                id,
+                fence,
+                order,
+                lost,
+            } => self.target_called(pending, target, &id, fence, order, lost),
+            Happening::TargetReply { pending, reply } => {
+                let event = |call| Event::TargetReply {
+                    call,
+                    reply: Ok(reply),
+                };
+                self.come_back(pending, event);
+            }
+            Happening::NewJob => self.new_job(),
+            Happening::Try(caller) => self.try_at(caller),
+            Happening::Deadline(caller) => self.deadline(caller),
+            Happening::Leave(caller) => self.leave(caller),
+            Happening::Fault => self.fault(),
+            Happening::Over(fault) => self.over(fault),
+            Happening::Restart(host) => self.restart(host),
+            Happening::NewTarget(target) => self.replace_target(target),
+            Happening::Lapse(id) => self.news(vec![TargetChange::Gone(id)]),
+            Happening::ReadAgain(host) => {
+                if self.store_out == 0 {
+                    self.tell(host, 1, Event::TargetsRead(self.list()));
+                }
+            }
+        }
+    }
+
+    /// Gives a reply to a call that still waits for one.
+    fn come_back(&mut self, pending: Pending, event: impl FnOnce(CallId) -> Event) {
+        if self
+            .calls
+            .remove(&(pending.host, pending.life, pending.call))
+        {
+            self.give(pending.host, pending.life, event(pending.call));
+        }
+    }
+
+    fn give(&mut self, host: usize, life: u64, event: Event) {
+        let there = &mut self.hosts[host];
+        if !there.up || there.life != life {
+            return;
+        }
+        if there.frozen {
+            there.queue.push(event);
+            return;
+        }
+        self.outcome.events += 1;
+        let at = self.now - there.base;
+        let actions = there.dispatcher.handle(at, event);
+        let next = there.base + there.dispatcher.next_timer().max(at + 1);
+        if there.tick_at <= self.now || next < there.tick_at {
+            there.tick_at = next;
+            self.at(next, Happening::Tick { host, life });
+        }
+        for action in actions {
+            self.perform(host, action);
+        }
+    }
+
+    fn tick(&mut self, host: usize, life: u64) {
+        let there = &self.hosts[host];
+        let due = there.life == life && there.tick_at <= self.now;
+        if due {
+            self.give(host, life, Event::Tick);
+        }
+    }
+
+    fn perform(&mut self, host: usize, action: Action) {
+        match action {
+            Action::Answer { token, answer } => self.answer(host, token.0, &answer),
+            Action::Reply { token, reply } => {
+                if let Some(pending) = self.hosts[host].peers.remove(&token.0) {
+                    if !self.peers_cut(host, pending.host) && !self.is_lossy() {
+                        let at = self.now + self.trip();
+                        self.at(at, Happening::Reply { pending, reply });
+                    }
+                }
+            }
+            Action::Call {
+                call,
+                address,
+                envelope,
+                wait_ms,
+            } => {
+                let to = usize::from(address.port()) - 1_000;
+                self.call_peer(host, call, to, envelope, wait_ms);
+            }
+            Action::Target {
+                call,
+                id,
+                address,
+                fence,
+                order,
+                wait_ms,
+            } => {
+                let target = address.parse().expect("addresses are numbers here");
+                self.call_target(host, call, target, id, fence, order, wait_ms);
+            }
+            Action::Note(note) => {
+                if self.scenario.verbose {
+                    println!("{:6} host-{host} {note:?}", self.now);
+                }
+            }
+            Action::Stopped => self.die(host, 100),
+        }
+    }
+}
+
+fn lift(cuts: &mut BTreeMap<usize, u32>, key: usize) {
+    if let Some(count) = cuts.get_mut(&key) {
+        *count -= 1;
+        if *count == 0 {
+            cuts.remove(&key);
+        }
+    }
+}
+
+fn queues() -> Queues {
+    Queues {
+        version: 1,
+        queues: vec![Queue {
+            name: "turns".into(),
+            host: "game.example".into(),
+            prefix: "/turns/".into(),
+            pool: "pool".into(),
+            urgency: 0,
+            max_attempts: MAX_ATTEMPTS,
+            extension: 1.6,
+            slack_ms: 60,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/dispatch-lab/src/world/network.rs
@@ -0,0 +1,244 @@
+//! Calls between hosts and to targets, and what is lost of them.
+
+use super::*;
+
+impl World {
+    pub(super) fn trip(&mut self) -> Millis {
+        self.rng.random_range(0..=2)
+    }
+
+    pub(super) fn is_lossy(&mut self) -> bool {
+        self.lossy_peers > 0 && self.rng.random_bool(HIT)
+    }
+
+    pub(super) fn expect(&mut self, host: usize, call: CallId) -> Pending {
+        let life = self.hosts[host].life;
+        self.calls.insert((host, life, call));
+        Pending { host, life, call }
+    }
+
+    pub(super) fn call_peer(
+        &mut self,
+        host: usize,
+        call: CallId,
+        to: usize,
+        envelope: Box<Envelope>,
+        wait_ms: Millis,
+    ) {
+        let pending = self.expect(host, call);
+        let missed = |why| Happening::Missed {
+            pending,
+            peer: true,
+            why,
+        };
+        if !self.peers_cut(host, to) && !self.hosts[to].up {
+            self.at(self.now + 1, missed(SendFailure::Refused));
+            return;
+        }
+        self.at(self.now + wait_ms, missed(SendFailure::Unknown));
+        if !self.peers_cut(host, to) && !self.is_lossy() {
+            let at = self.now + self.trip();
+            self.at(
+                at,
+                Happening::Call {
+                    pending,
+                    to,
+                    envelope,
+                },
+            );
+        }
+    }
+
+    pub(super) fn peer_called(&mut self, pending: Pending, to: usize, envelope: Box<Envelope>) {
+        self.tokens += 1;
+        let token = self.tokens;
+        let there = &mut self.hosts[to];
+        let life = there.life;
+        there.peers.insert(token, pending);
+        let token = Token(token);
+        self.give(to, life, Event::Peer { token, envelope });
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one action")]
+    pub(super) fn call_target(
+        &mut self,
+        host: usize,
+        call: CallId,
+        target: usize,
+        id: Name,
+        fence: u64,
+        order: TargetCall,
+        wait_ms: Millis,
+    ) {
+        let pending = self.expect(host, call);
+        let missed = |why| Happening::Missed {
+            pending,
+            peer: false,
+            why,
+        };
+        let cut = self.target_cut(host, target);
+        if !cut && !self.targets[target].up {
+            self.at(self.now + 1, missed(SendFailure::Refused));
+            return;
+        }
+        if cut && self.rng.random() {
+            self.at(self.now + wait_ms.min(150), missed(SendFailure::NotSent));
+            return;
+        }
+        self.at(self.now + wait_ms, missed(SendFailure::Unknown));
+        if cut {
+            return;
+        }
+        let late = self.late > 0 && self.rng.random_bool(HIT);
+        let lost = late || (self.lost_answers > 0 && self.rng.random_bool(HIT));
+        let after = if late {
+            self.rng.random_range(2_000..12_000)
+        } else {
+            self.trip()
+        };
+        self.at(
+            self.now + after,
+            Happening::Target {
+                pending,
+                target,
+                id,
+                fence,
+                order,
+                lost,
+            },
+        );
+    }
+
+    pub(super) fn target_called(
+        &mut self,
+        pending: Pending,
+        index: usize,
+        id: &Name,
+        fence: u64,
+        order: TargetCall,
+        lost: bool,
+    ) {
+        self.advance(index);
+        let target = &mut self.targets[index];
+        if !target.up {
+            return;
+        }
+        if target.entry.id != *id {
+            self.target_replies(pending, lost, TargetReply::OtherLife);
+            return;
+        }
+        let now = self.now;
+        let reply = match order {
+            TargetCall::Start(order) => self.start(index, fence, &order),
+            TargetCall::Stop(key) => {
+                let (reply, ended) = target.stop(now, fence, &key);
+                if let Some(ended) = ended {
+                    self.checks.ended(id, &ended.key, ended.how);
+                }
+                reply
+            }
+            TargetCall::Hold {
+                until,
+                noted,
+                wait_ms,
+            } => {
+                if !target.hold(now, fence, until, noted) {
+                    let clock = target.clock(now) as Millis;
+                    TargetReply::Fenced { clock }
+                } else if target.ended.is_empty() && wait_ms > 0 {
+                    if !lost {
+                        self.holds.push(WaitingHold {
+                            pending,
+                            target: index,
+                            id: id.clone(),
+                            until: now + wait_ms,
+                        });
+                    }
+                    return;
+                } else {
+                    target.listing(now)
+                }
+            }
+        };
+        self.target_replies(pending, lost, reply);
+    }
+
+    pub(super) fn target_replies(&mut self, pending: Pending, lost: bool, reply: TargetReply) {
+        if !lost {
+            let at = self.now + self.trip();
+            self.at(at, Happening::TargetReply { pending, reply });
+        }
+    }
+
+    pub(super) fn start(&mut self, index: usize, fence: u64, order: &RunOrder) -> TargetReply {
+        let now = self.now;
+        let job = order.key.task.split('.').next().unwrap_or_default();
+        let (room, estimate) = self.rooms[job];
+        let spread: f64 = self.rng.random_range(-1.0..1.0) + self.rng.random_range(-0.5..0.5);
+        let run = Run {
+            room,
+            left_ms: estimate as f64 * (spread * 0.5).exp(),
+            fails: self.rng.random_bool(0.002),
+        };
+        let target = &mut self.targets[index];
+        let (reply, begun) = target.start(now, fence, order, run);
+        if begun {
+            let id = target.entry.id.clone();
+            let over = target.used_cpu() > target.entry.capacity.cpu;
+            self.checks.started(now, &id, &order.key, over);
+            self.check_leaving(&id);
+        }
+        reply
+    }
+
+    /// A host in touch heard long ago that the target leaves.
+    pub(super) fn check_leaving(&mut self, id: &Name) {
+        let Some(since) = self.leaving_since.get(id).copied() else {
+            return;
+        };
+        let calm = self.store_troubled < since && self.store_out == 0 && self.late == 0;
+        if calm && self.now > since + self.scenario.bounds.drain_ms {
+            self.checks.started_while_leaving(self.now, id);
+        }
+    }
+
+    pub(super) fn advance(&mut self, index: usize) {
+        let ends = self.targets[index].advance(self.now);
+        let id = self.targets[index].entry.id.clone();
+        for ended in ends {
+            self.checks.ended(&id, &ended.key, ended.how);
+        }
+    }
+
+    pub(super) fn step(&mut self) {
+        for index in 0..self.targets.len() {
+            self.advance(index);
+        }
+        let holds = std::mem::take(&mut self.holds);
+        for hold in holds {
+            let target = &self.targets[hold.target];
+            let same = target.up && target.entry.id == hold.id;
+            if same && target.ended.is_empty() && hold.until > self.now {
+                self.holds.push(hold);
+            } else if same && !self.target_cut(hold.pending.host, hold.target) {
+                let reply = target.listing(self.now);
+                self.target_replies(hold.pending, false, reply);
+            }
+        }
+        self.at(self.now + STEP_MS, Happening::Step);
+    }
+
+    pub(super) fn peers_cut(&self, a: usize, b: usize) -> bool {
+        let halls = self.halls_cut(self.hall_of_host(a), self.hall_of_host(b));
+        halls || self.cut_peers.contains_key(&a) || self.cut_peers.contains_key(&b)
+    }
+
+    pub(super) fn target_cut(&self, host: usize, target: usize) -> bool {
+        let halls = self.halls_cut(self.hall_of_host(host), self.hall_of_target(target));
+        halls || self.cut_targets.contains_key(&host) || self.cut_target.contains_key(&target)
+    }
+
+    pub(super) fn halls_cut(&self, a: usize, b: usize) -> bool {
+        a != b && (self.cut_halls.contains_key(&a) || self.cut_halls.contains_key(&b))
+    }
+}
--- /dev/null
+++ b/crates/dispatch-lab/src/world/trouble.rs
@@ -0,0 +1,207 @@
+//! Faults that begin and end.
+
+use super::*;
+
+impl World {
+    pub(super) fn fault(&mut self) {
+        if self.now >= self.scenario.load_ms {
+            return;
+        }
+        let halls = self.scenario.halls;
+        let fault = faults::draw(&mut self.rng, self.hosts.len(), self.targets.len(), halls);
+        let length = faults::length(&mut self.rng);
+        self.begin(fault, length);
+        let gap = self.rng.random_range(0..2 * self.scenario.fault_gap_ms);
+        self.at(self.now + gap, Happening::Fault);
+    }
+
+    pub(super) fn begin(&mut self, fault: Fault, length: Millis) {
+        let name = match fault {
+            Fault::Kill(host) => {
+                self.die(host, length.min(3_000));
+                "kill"
+            }
+            Fault::KillAll => {
+                for host in 0..self.hosts.len() {
+                    self.die(host, length.min(1_500));
+                }
+                "kill all"
+            }
+            Fault::Freeze(host) => {
+                self.hosts[host].frozen = true;
+                "freeze"
+            }
+            Fault::Stop(host) => {
+                self.tell(host, 0, Event::Stop);
+                "stop"
+            }
+            Fault::CutPeers(host) => {
+                *self.cut_peers.entry(host).or_default() += 1;
+                "cut peers"
+            }
+            Fault::CutTargets(host) => {
+                *self.cut_targets.entry(host).or_default() += 1;
+                "cut targets"
+            }
+            Fault::CutHall(hall) => {
+                *self.cut_halls.entry(hall).or_default() += 1;
+                "cut hall"
+            }
+            Fault::CutTarget(target) => {
+                *self.cut_target.entry(target).or_default() += 1;
+                "cut target"
+            }
+            Fault::Crash(target) => {
+                self.crash(target, length);
+                "crash"
+            }
+            Fault::Moody(target, mood) => {
+                self.targets[target].mood = mood;
+                "moody"
+            }
+            Fault::Leave(target) => {
+                self.target_leaves(target);
+                "leave"
+            }
+            Fault::Late => {
+                self.late += 1;
+                "late"
+            }
+            Fault::LostAnswers => {
+                self.lost_answers += 1;
+                "lost answers"
+            }
+            Fault::LossyPeers => {
+                self.lossy_peers += 1;
+                "lossy peers"
+            }
+            Fault::StoreOut => {
+                self.store_out += 1;
+                self.store_troubled = self.now;
+                for host in 0..self.hosts.len() {
+                    self.tell(host, 20, Event::StoreReachable(false));
+                }
+                "store out"
+            }
+        };
+        *self.outcome.faults.entry(name).or_default() += 1;
+        if self.scenario.verbose {
+            println!("{:6} fault {fault:?} for {length} ms", self.now);
+        }
+        self.at(self.now + length, Happening::Over(fault));
+    }
+
+    pub(super) fn over(&mut self, fault: Fault) {
+        match fault {
+            Fault::Freeze(host) => self.wake(host),
+            Fault::CutPeers(host) => lift(&mut self.cut_peers, host),
+            Fault::CutTargets(host) => lift(&mut self.cut_targets, host),
+            Fault::CutHall(hall) => lift(&mut self.cut_halls, hall),
+            Fault::CutTarget(target) => lift(&mut self.cut_target, target),
+            Fault::Moody(target, _) => self.targets[target].mood = Mood::Well,
+            Fault::Late => self.late -= 1,
+            Fault::LostAnswers => self.lost_answers -= 1,
+            Fault::LossyPeers => self.lossy_peers -= 1,
+            Fault::StoreOut => {
+                self.store_out -= 1;
+                if self.store_out == 0 {
+                    self.store_back();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn store_back(&mut self) {
+        self.store_troubled = self.now;
+        for host in 0..self.hosts.len() {
+            self.tell(host, 20, Event::StoreReachable(true));
+            let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
+            self.tell(host, 21, Event::HostsRead(hosts));
+            self.tell(host, 21, Event::QueuesRead(queues()));
+            // Some entries lapsed meanwhile, and are back soon.
+            let mut list = self.list();
+            list.retain(|_| self.rng.random_bool(0.7));
+            self.tell(host, 21, Event::TargetsRead(list));
+            self.at(self.now + 1_500, Happening::ReadAgain(host));
+        }
+    }
+
+    pub(super) fn wake(&mut self, host: usize) {
+        let there = &mut self.hosts[host];
+        there.frozen = false;
+        there.woke = self.now;
+        let life = there.life;
+        let queued = std::mem::take(&mut there.queue);
+        for event in queued {
+            self.give(host, life, event);
+        }
+        self.give(host, life, Event::Tick);
+    }
+
+    pub(super) fn die(&mut self, host: usize, down_ms: Millis) {
+        if !self.hosts[host].up {
+            return;
+        }
+        let there = &mut self.hosts[host];
+        there.up = false;
+        there.frozen = false;
+        there.queue.clear();
+        there.peers.clear();
+        let callers: Vec<usize> = there.callers.drain().map(|(_, caller)| caller).collect();
+        let mut callers = callers;
+        callers.sort_unstable();
+        for caller in callers {
+            self.broken(caller);
+        }
+        self.at(self.now + down_ms, Happening::Restart(host));
+    }
+
+    pub(super) fn restart(&mut self, host: usize) {
+        self.hosts[host] = self.new_host(host);
+        self.welcome(host);
+    }
+
+    pub(super) fn crash(&mut self, index: usize, length: Millis) {
+        if !self.targets[index].up {
+            return;
+        }
+        self.advance(index);
+        let target = &mut self.targets[index];
+        target.up = false;
+        let id = target.entry.id.clone();
+        let keys: Vec<_> = target.runs.keys().cloned().collect();
+        for key in keys {
+            let how = gannetridge_dispatch::event::ListedHow::Ended;
+            self.checks.ended(&id, &key, how);
+        }
+        self.at(self.now + LAPSE_MS, Happening::Lapse(id));
+        self.at(self.now + length, Happening::NewTarget(index));
+    }
+
+    pub(super) fn replace_target(&mut self, index: usize) {
+        self.targets[index] = self.new_target(index);
+        self.targets[index].advance(self.now);
+        let entry = self.targets[index].entry.clone();
+        self.news(vec![TargetChange::There(entry)]);
+    }
+
+    pub(super) fn target_leaves(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        if !target.up || target.entry.leaving {
+            return;
+        }
+        target.entry.leaving = true;
+        let entry = target.entry.clone();
+        self.leaving_since.insert(entry.id.clone(), self.now);
+        self.news(vec![TargetChange::There(entry)]);
+    }
+
+    pub(super) fn news(&mut self, changes: Vec<TargetChange>) {
+        if self.store_out == 0 {
+            for host in 0..self.hosts.len() {
+                self.tell(host, NEWS_MS, Event::TargetsChanged(changes.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -0,0 +1,112 @@
+//! Finds room for tasks that wait, here and at peers.
+
+use super::*;
+
+impl Dispatcher {
+    /// Finds room for what waits, here and at peers, the most urgent first.
+    pub(super) fn schedule(&mut self, now: Millis) {
+        if self.jobs.none_waits() {
+            return self.serve_wants(now, None);
+        }
+        let own = self.own.name.clone();
+        let starts_here = self.starts_here(now);
+        let mut left: Vec<WaitingTask> = Vec::new();
+        let mut batches: BTreeMap<Name, Vec<TaskOrder>> = BTreeMap::new();
+        for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
+            self.serve_wants(now, Some(&task));
+            let here = starts_here && self.keeper.may_fit(now, &task.room);
+            let there = task.may_ask && self.peers.may_fit(now, &task.room);
+            if !here && !there {
+                left.push(task);
+                continue;
+            }
+            let order = self.jobs.order(&task.job, task.index);
+            if here && self.keeper.place(now, &own, 0, &order) {
+                self.jobs.started(now, &task.job, task.index);
+                continue;
+            }
+            let peer = there.then(|| self.peers.with_room(now, &order));
+            if let Some(peer) = peer.flatten() {
+                self.jobs.asked(now, &task.job, task.index, &peer);
+                batches.entry(peer).or_default().push(order);
+            } else {
+                left.push(task);
+            }
+        }
+        self.serve_wants(now, None);
+        for (peer, orders) in batches {
+            self.send_place(now, &peer, orders);
+        }
+        self.tell_want(now, &left);
+    }
+
+    /// Offers room to peers whose wants are more urgent than a task here.
+    pub(super) fn serve_wants(&mut self, now: Millis, next: Option<&WaitingTask>) {
+        let wanted = self.peers.all.values().any(|peer| peer.want.is_some());
+        if self.stopping.is_some() || !wanted {
+            return;
+        }
+        loop {
+            let wants = self.peers.all.iter().filter_map(|(name, peer)| {
+                let (want, heard, until) = peer.want.as_ref()?;
+                let open = *until > now && peer.takes_tasks(now, &self.times) && !peer.lapsed;
+                let urge = Urge {
+                    rank: want.urge.rank,
+                    slack_ms: want.urge.slack_ms - now.saturating_sub(*heard) as i64,
+                };
+                open.then_some((urge, name, want))
+            });
+            let first =
+                wants.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+            let Some((urge, name, want)) = first else {
+                return;
+            };
+            if next.is_some_and(|task| task.urge <= urge) {
+                return;
+            }
+            let (name, want) = (name.clone(), want.clone());
+            let Some(free) = self.keeper.offer(now, &name, &want) else {
+                return;
+            };
+            self.call_peer(&name, Request::Offer(free), Purpose::Offer);
+            // The next offer to it waits until it says again what it wants.
+            if let Some(peer) = self.peers.all.get_mut(&name) {
+                if let Some((want, _, _)) = &mut peer.want {
+                    want.count = want.count.saturating_sub(1);
+                    if want.count == 0 {
+                        peer.want = None;
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell_want(&mut self, now: Millis, left: &[WaitingTask]) {
+        let Some(first) = left.first() else {
+            return;
+        };
+        let pool = self.jobs.pool(&first.job).clone();
+        let same_pool = left
+            .iter()
+            .filter(|task| *self.jobs.pool(&task.job) == pool);
+        let same_pool: Vec<WaitingTask> = same_pool.cloned().collect();
+        let Some(want) = jobs::want(&same_pool, &pool) else {
+            return;
+        };
+        let told = self.want.as_ref().is_some_and(|(told, at)| {
+            let more_urgent = want.urge.rank < told.urge.rank || want.count > told.count;
+            at + WANT_PAUSE_MS > now && !more_urgent
+        });
+        if told {
+            return;
+        }
+        self.want = Some((want.clone(), now));
+        let names: Vec<Name> = self.peers.all.keys().cloned().collect();
+        for name in names {
+            let alive = self.peers.all[&name].takes_tasks(now, &self.times);
+            if alive {
+                self.call_peer(&name, Request::Want(Some(want.clone())), Purpose::Want);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/jobs/ending.rs
@@ -0,0 +1,119 @@
+//! How jobs end.
+
+use super::*;
+
+impl Jobs {
+    /// Does what is due.
+    pub fn tick(&mut self, now: Millis) {
+        self.ended.retain(|_, (_, until)| *until > now);
+        self.next_runs.retain(|_, (_, until)| *until > now);
+        let mut ends = Vec::new();
+        let ids: Vec<Name> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.rank(now, &id);
+        }
+        for (id, job) in &mut self.jobs {
+            for task in &mut job.tasks {
+                if matches!(task.state, TaskState::Lost(over) if over <= now) {
+                    task.run += 1;
+                    task.state = TaskState::Waiting;
+                }
+            }
+            if let Some(cause) = due_end(now, job) {
+                ends.push((id.clone(), cause));
+            }
+        }
+        for (id, cause) in ends {
+            self.end(now, &id, cause);
+        }
+    }
+
+    /// Ends all jobs, since the host does.
+    pub fn end_all(&mut self, now: Millis) {
+        let ids: Vec<Name> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.end(now, &id, Cause::Stopping);
+        }
+    }
+
+    /// Ends a job of which a task fits no target.
+    pub fn too_large(&mut self, now: Millis, id: &Name) {
+        self.end(now, id, Cause::TooLarge);
+    }
+
+    pub(super) fn end(&mut self, now: Millis, id: &Name, cause: Cause) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        if let Some(ready) = &job.ready {
+            self.ready.remove(ready);
+        }
+        self.stop_runs(id, &job);
+        let took_ms = now.saturating_sub(job.taken);
+        let answer = match cause {
+            Cause::Done => Answer::Completed,
+            Cause::Cancelled => Answer::Cancelled,
+            Cause::Attempts => Answer::Failed,
+            _ if !job.may_have_begun() || !self.safeguards.begun_is_not_refused => {
+                Answer::Refused {
+                    retry_after_ms: job.aim_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1),
+                }
+            }
+            _ => Answer::Unfinished,
+        };
+        for token in &job.tokens {
+            self.by_token.remove(token);
+            self.out.push(Action::Answer {
+                token: *token,
+                answer: answer.clone(),
+            });
+        }
+        if matches!(answer, Answer::Completed | Answer::Cancelled) {
+            self.remember(id, answer, now + REMEMBER_MS);
+        } else {
+            let last = job.tasks.iter().map(|task| task.run).max();
+            self.remember_run(id, last.unwrap_or(0) + 1, now + REMEMBER_MS);
+        }
+        self.out.push(Action::Note(Note::JobEnded {
+            job: id.clone(),
+            queue: job.queue.name.clone(),
+            cause,
+            done: job.done(),
+            starts: job.starts,
+            took_ms,
+            aim_ms: job.aim_ms,
+        }));
+    }
+
+    pub(super) fn stop_runs(&mut self, id: &Name, job: &Job) {
+        let mut within = vec![0; job.spec.steps.len()];
+        for task in &job.tasks {
+            let place = within[task.step];
+            within[task.step] += 1;
+            let peer = match &task.state {
+                TaskState::Runs(peer) => peer.clone(),
+                TaskState::Asked(peer) => Some(peer.clone()),
+                _ => continue,
+            };
+            let key = RunKey {
+                task: format!("{id}.0.{}.{place}", task.step).into(),
+                run: task.run,
+            };
+            self.stops.push((peer, key));
+        }
+    }
+
+    pub(super) fn remember_run(&mut self, id: &Name, next: u32, until: Millis) {
+        if self.next_runs.len() >= MAX_REMEMBERED {
+            self.next_runs.pop_first();
+        }
+        self.next_runs.insert(id.clone(), (next, until));
+    }
+
+    pub(super) fn remember(&mut self, id: &Name, answer: Answer, until: Millis) {
+        if self.ended.len() >= MAX_REMEMBERED {
+            self.ended.pop_first();
+        }
+        self.ended.insert(id.clone(), (answer, until));
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -0,0 +1,371 @@
+//! The owner's side: jobs of the callers that are connected here.
+
+mod ending;
+mod runs;
+mod waiting;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use gannetridge_wire::Name;
+
+use crate::action::{Action, Answer};
+use crate::event::{Submit, Token};
+use crate::message::{End, Rank, RunEnd, RunKey, TaskOrder, Urge, Want};
+use crate::note::{Cause, Note};
+use crate::queues::Queue;
+use crate::settings::Safeguards;
+use crate::spec::{JobSpec, Room};
+use crate::Millis;
+
+/// The longest that a caller's job may take where the caller names no time.
+const DEFAULT_DEADLINE_MS: Millis = 5_000;
+/// A job of which nothing has begun in this part of its time is refused.
+const WAIT_SHARE: f64 = 0.45;
+/// An answer is worth something up to this many times the aim.
+const LATE_FACTOR: Millis = 3;
+/// Estimates may be this much too long for a task that could still end.
+const ESTIMATE_FLOOR: f64 = 0.5;
+/// Answers leave this long before callers stop waiting.
+const ANSWER_MS: Millis = 20;
+/// How long the answer to a job is remembered.
+const REMEMBER_MS: Millis = 6_000;
+/// The most answers that are remembered.
+const MAX_REMEMBERED: usize = 4_096;
+/// The most jobs that are under way at one host.
+const MAX_JOBS: usize = 2_000;
+/// Least and most time after which a refused caller may come back.
+const RETRY_AFTER_MS: (Millis, Millis) = (500, 3_000);
+/// After a peer had no room for a task after all, others aren't asked for it on
+/// mere belief for this long.
+const ASK_PAUSE_MS: Millis = 25;
+/// A target that had seen a higher run is passed by this much.
+const RUN_LEAP: u32 = 16;
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum TaskState {
+    /// Earlier steps aren't done.
+    Blocked,
+    /// It may be started.
+    Waiting,
+    /// A peer is asked to start it.
+    Asked(Name),
+    /// It runs on a target of this host, or of a peer.
+    Runs(Option<Name>),
+    /// Its last run may go on until then.
+    Lost(Millis),
+    /// It is done.
+    Done,
+}
+
+#[derive(Debug)]
+struct Task {
+    step: usize,
+    state: TaskState,
+    run: u32,
+    failures: u32,
+    avoid: Vec<Name>,
+    /// A peer that took it for free said no: others are asked on belief no
+    /// sooner than this, offers are taken at any time.
+    ask_after: Millis,
+}
+
+/// A job under way.
+#[derive(Debug)]
+struct Job {
+    queue: Queue,
+    spec: JobSpec,
+    tokens: Vec<Token>,
+    taken: Millis,
+    aim_ms: Millis,
+    deadline: Millis,
+    tasks: Vec<Task>,
+    /// Whether a task of it was started, or is lost.
+    begun: bool,
+    starts: u32,
+    /// Where it stands among those with tasks that wait.
+    ready: Option<Ready>,
+}
+
+impl Job {
+    fn urge(&self, now: Millis, step: usize) -> Urge {
+        let estimate = self.spec.steps[step].estimate_ms as i64;
+        let since = now.saturating_sub(self.taken) as i64;
+        let slack = self.aim_ms as i64 - estimate - since;
+        let late_slack = self.worth_ms() as i64 - estimate - since;
+        let (rank, slack_ms) = match (self.begun, slack >= 0, late_slack >= 0) {
+            (_, _, false) => (Rank::Worthless, late_slack),
+            (true, _, _) => (Rank::Begun, slack),
+            (false, true, _) => (Rank::InAim, slack),
+            (false, false, _) => (Rank::Late, late_slack),
+        };
+        Urge { rank, slack_ms }
+    }
+
+    /// Returns for how long an answer is worth something.
+    fn worth_ms(&self) -> Millis {
+        self.aim_ms * LATE_FACTOR
+    }
+
+    /// Tells whether a task may have begun: only where none can have, the job
+    /// may be said not to run.
+    fn may_have_begun(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        self.begun || tasks.any(|task| matches!(task.state, TaskState::Asked(_)))
+    }
+
+    fn done(&self) -> usize {
+        let done = self.tasks.iter();
+        done.filter(|task| task.state == TaskState::Done).count()
+    }
+
+    /// Lets tasks wait whose earlier steps are done.
+    fn unblock(&mut self) {
+        let tasks = self.tasks.iter();
+        let open: Vec<usize> = tasks
+            .filter(|task| task.state != TaskState::Done)
+            .map(|task| task.step)
+            .collect();
+        for task in &mut self.tasks {
+            if task.state == TaskState::Blocked {
+                let after = &self.spec.steps[task.step].after;
+                if !after.iter().any(|step| open.contains(step)) {
+                    task.state = TaskState::Waiting;
+                }
+            }
+        }
+    }
+}
+
+/// A job's place in the order of those with tasks that wait.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ready {
+    rank: Rank,
+    /// The latest start that keeps the rank.
+    latest: i64,
+    job: Name,
+}
+
+/// A task that waits, and how urgently.
+#[derive(Clone, Debug)]
+pub struct WaitingTask {
+    /// Its job.
+    pub job: Name,
+    /// Its place in the job.
+    pub index: usize,
+    /// How urgent it is.
+    pub urge: Urge,
+    /// What it takes.
+    pub room: Room,
+    /// Whether peers may be asked that are only believed to have room.
+    pub may_ask: bool,
+}
+
+/// The jobs of the callers that are connected here.
+#[derive(Default)]
+pub struct Jobs {
+    safeguards: Safeguards,
+    jobs: BTreeMap<Name, Job>,
+    by_token: HashMap<Token, Name>,
+    /// Jobs with tasks that wait, the most urgent first. Within a rank the
+    /// order doesn't change with the time; ranks are looked at again with
+    /// each tick.
+    ready: BTreeSet<Ready>,
+    ended: BTreeMap<Name, (Answer, Millis)>,
+    /// The first runs of jobs that may come again, above all earlier ones:
+    /// what is still told of those can't be taken for news of these.
+    next_runs: BTreeMap<Name, (u32, Millis)>,
+    /// Runs that are to be ended, with the peer that has them.
+    pub stops: Vec<(Option<Name>, RunKey)>,
+    /// What to do.
+    pub out: Vec<Action>,
+}
+
+impl Jobs {
+    /// Creates an owner without jobs.
+    #[must_use]
+    pub fn new(safeguards: Safeguards) -> Self {
+        Self {
+            safeguards,
+            ..Self::default()
+        }
+    }
+
+    /// Returns how many jobs are under way.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tells whether no job is under way.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    #[must_use]
+    pub fn pending(&self, queue: &Name) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|job| job.queue.name == *queue && !job.begun)
+            .count()
+    }
+
+    /// Tells a job's state, if it is known.
+    #[must_use]
+    pub fn state(&self, id: &Name) -> Option<Answer> {
+        if let Some(job) = self.jobs.get(id) {
+            return Some(if job.begun {
+                Answer::Running
+            } else {
+                Answer::Queued
+            });
+        }
+        self.ended.get(id).map(|(answer, _)| answer.clone())
+    }
+
+    /// Takes a job that was checked; one that is known already is joined.
+    pub fn submit(
+        &mut self,
+        now: Millis,
+        token: Token,
+        id: Name,
+        submit: Submit,
+        queue: &Queue,
+        version: u64,
+    ) {
+        if let Some((answer, _)) = self.ended.get(&id) {
+            let answer = answer.clone();
+            self.out.push(Action::Answer { token, answer });
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.tokens.push(token);
+            self.by_token.insert(token, id);
+            return;
+        }
+        if self.jobs.len() >= MAX_JOBS {
+            let answer = Answer::Refused {
+                retry_after_ms: RETRY_AFTER_MS.1,
+            };
+            self.out.push(Action::Answer { token, answer });
+            return;
+        }
+        let wait = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+        let aim_ms = queue.aim(submit.spec.chain_ms());
+        let run = self.next_runs.get(&id).map_or(1, |(run, _)| *run);
+        let mut tasks = Vec::new();
+        for (step, spec) in submit.spec.steps.iter().enumerate() {
+            for _ in 0..spec.count {
+                tasks.push(Task {
+                    step,
+                    state: TaskState::Blocked,
+                    run,
+                    failures: 0,
+                    avoid: Vec::new(),
+                    ask_after: 0,
+                });
+            }
+        }
+        self.out.push(Action::Note(Note::JobTaken {
+            job: id.clone(),
+            queue: queue.name.clone(),
+            tasks: tasks.len(),
+            aim_ms,
+            deadline_ms: wait,
+            version,
+        }));
+        let mut job = Job {
+            queue: queue.clone(),
+            spec: submit.spec,
+            tokens: vec![token],
+            taken: now,
+            aim_ms,
+            deadline: now + wait.saturating_sub(ANSWER_MS),
+            tasks,
+            begun: false,
+            starts: 0,
+            ready: None,
+        };
+        job.unblock();
+        self.by_token.insert(token, id.clone());
+        self.jobs.insert(id.clone(), job);
+        self.rank(now, &id);
+    }
+
+    /// The caller of a request is gone; its job ends unless others wait.
+    pub fn caller_gone(&mut self, now: Millis, token: Token) {
+        let Some(id) = self.by_token.remove(&token) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.tokens.retain(|other| *other != token);
+            if job.tokens.is_empty() {
+                self.end(now, &id, Cause::CallerGone);
+            }
+        }
+    }
+
+    /// The caller takes a job back; returns whether it was known.
+    pub fn cancel(&mut self, now: Millis, id: &Name) -> bool {
+        if self.jobs.contains_key(id) {
+            self.end(now, id, Cause::Cancelled);
+            return true;
+        }
+        self.ended.contains_key(id)
+    }
+}
+
+fn avoid(task: &mut Task, target: &Name) {
+    if !task.avoid.contains(target) {
+        task.avoid.push(target.clone());
+    }
+}
+
+/// Tells why a job has to end now, if it has.
+fn due_end(now: Millis, job: &Job) -> Option<Cause> {
+    let wait = (job.deadline - job.taken).min(job.worth_ms()) as f64;
+    let waited_enough = now >= job.taken + (wait * WAIT_SHARE) as Millis;
+    let mut open = job
+        .tasks
+        .iter()
+        .filter(|task| task.state != TaskState::Done);
+    if !job.may_have_begun() {
+        let worthless = open.any(|task| job.urge(now, task.step).rank == Rank::Worthless);
+        return (waited_enough || worthless).then_some(Cause::NoRoom);
+    }
+    if now >= job.deadline {
+        return Some(Cause::Deadline);
+    }
+    // What runs is let run: breaking it off would gain nothing.
+    let runs = job
+        .tasks
+        .iter()
+        .any(|task| matches!(task.state, TaskState::Runs(_) | TaskState::Asked(_)));
+    let hopeless = open.any(|task| {
+        let estimate = job.spec.steps[task.step].estimate_ms as f64 * ESTIMATE_FLOOR;
+        let end = now + estimate as Millis;
+        end >= job.deadline || end >= job.taken + job.worth_ms()
+    });
+    (hopeless && !runs).then_some(Cause::Deadline)
+}
+
+/// Sums up tasks of one pool that found no room.
+#[must_use]
+pub fn want(left: &[WaitingTask], pool: &Name) -> Option<Want> {
+    let first = left.first()?;
+    let mut least = first.room;
+    for task in left {
+        least = Room {
+            cpu: least.cpu.min(task.room.cpu),
+            memory_mb: least.memory_mb.min(task.room.memory_mb),
+            gpus: least.gpus.min(task.room.gpus),
+        };
+    }
+    Some(Want {
+        urge: first.urge,
+        pool: pool.clone(),
+        least,
+        count: left.len() as u32,
+    })
+}
