--- /dev/null
+++ b/crates/dispatch/src/target/ends.rs
@@ -0,0 +1,131 @@
+//! How runs end, and what that shows of the target.
+
+use super::*;
+
+impl Target {
+    /// Takes a listing in that was asked for at `asked`; returns what ended.
+    ///
+    /// With `settles` a newcomer waits for runs that it doesn't know.
+    pub fn list(
+        &mut self,
+        now: Millis,
+        asked: Millis,
+        running: &[RunKey],
+        ended: &[ListedEnd],
+        settles: bool,
+    ) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for end in ended {
+            self.noted = self.noted.max(end.number);
+            reports.extend(self.listed_end(now, end));
+        }
+        for key in running {
+            if let Some(run) = self.runs.get_mut(key) {
+                run.taken.get_or_insert(now);
+            }
+        }
+        let over = self.runs.iter().filter(|(key, run)| {
+            // What came in the same millisecond may have come after.
+            let stopped = matches!(run.stop, StopStage::Taken(at) if at < asked);
+            let begun = run.taken.is_some_and(|at| at < asked);
+            let too_late = run.begins_before < asked;
+            (stopped || begun || too_late) && !running.contains(key)
+        });
+        let over: Vec<RunKey> = over.map(|(key, _)| key.clone()).collect();
+        for key in over {
+            reports.extend(self.end(now, &key, End::Lost, "not listed"));
+        }
+        if self.stage == Stage::Taking || self.stage == Stage::Settling {
+            let known = running.iter().all(|key| self.runs.contains_key(key));
+            let known = known || !settles;
+            self.stage = if known { Stage::Kept } else { Stage::Settling };
+            if known {
+                self.kept_since = self.incumbent_since.unwrap_or(now);
+            }
+        }
+        reports
+    }
+
+    pub(super) fn listed_end(&mut self, now: Millis, end: &ListedEnd) -> Option<Report> {
+        let run = self.runs.get(&end.key)?;
+        let took = now.saturating_sub(run.started);
+        match end.how {
+            ListedHow::Done => {
+                self.failures = 0;
+                self.suspensions = 0;
+                let ratio = took as f64 / run.estimate_ms.max(1) as f64;
+                self.pace += PACE_WEIGHT * (ratio.clamp(0.2, 5.0) - self.pace);
+                self.end(now, &end.key, End::Done, "listed")
+            }
+            ListedHow::Failed => {
+                self.failed(now);
+                self.end(now, &end.key, End::Failed, "listed")
+            }
+            ListedHow::Ended => self.end(now, &end.key, End::Lost, "listed"),
+        }
+    }
+
+    /// Takes note of a failure; leaves the target alone after some in a row.
+    pub fn failed(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_SUSPEND && self.suspended_until <= now {
+            self.suspend(now);
+        }
+    }
+
+    /// Leaves the target alone for a while.
+    pub fn suspend(&mut self, now: Millis) {
+        let length = FIRST_SUSPENSION_MS << self.suspensions.min(3);
+        self.suspended_until = now + length.min(LONGEST_SUSPENSION_MS);
+        self.suspensions += 1;
+        self.failures = self.failures.max(FAILURES_TO_SUSPEND);
+    }
+
+    /// Tells whether the target is left alone.
+    #[must_use]
+    pub fn is_suspended(&self, now: Millis) -> bool {
+        self.suspended_until > now
+    }
+
+    /// Ends a run in the books.
+    pub fn end(&mut self, now: Millis, key: &RunKey, end: End, by: &'static str) -> Option<Report> {
+        let run = self.runs.remove(key)?;
+        Some(Report {
+            owner: run.owner,
+            session: run.session,
+            end: RunEnd {
+                key: key.clone(),
+                end,
+                target: self.entry.id.clone(),
+            },
+            by,
+            took_ms: now.saturating_sub(run.started),
+            wanted: run.report,
+        })
+    }
+
+    /// Ends all runs in the books.
+    pub fn end_all(&mut self, now: Millis, by: &'static str) -> Vec<Report> {
+        let keys: Vec<RunKey> = self.runs.keys().cloned().collect();
+        let ends = keys.iter();
+        ends.filter_map(|key| self.end(now, key, End::Lost, by))
+            .collect()
+    }
+
+    /// Tells whether whatever ran there is over, by the last hold.
+    #[must_use]
+    pub fn is_over(&self, now: Millis) -> bool {
+        self.over_by < now
+    }
+
+    /// Returns the runs that have gone on for far longer than estimated.
+    #[must_use]
+    pub fn overruns(&self, now: Millis) -> Vec<RunKey> {
+        let runs = self.runs.iter().filter(|(_, run)| {
+            let allowed = run.estimate_ms as f64 * OVERRUN_FACTOR * self.pace.clamp(1.0, 2.0);
+            let allowed = allowed as Millis + OVERRUN_MS;
+            run.stop == StopStage::Wanted && now > run.started + allowed
+        });
+        runs.map(|(key, _)| key.clone()).collect()
+    }
+}
