Heartbeats and wants that don't grow with the number of hosts

Cause: the grown deployment's hosts (0.12 core) were out of processor time. Each host beat 42 others 7 times a second and told each want to all.

Ruled out: logs (the same lines as on the small sites), the feed of targets (4 reads a second), packing (0.4 of the room was used).

Change: only where tasks of this host run, heartbeats come as often as vouches need; elsewhere their pause grows with the hosts, up to six beats. Requests carry the sender's clock, and put heartbeats off. A peer whose clock wasn't heard of late is asked for it before it gets tasks. A want goes to eight peers, others each time. The hash of the hosts, the jobs' look at what is due and the look at rooms that can't fit are no longer done anew for nothing.

--- a/crates/dispatch-lab/tests/promises.rs
+++ b/crates/dispatch-lab/tests/promises.rs
@@ -29,6 +29,23 @@
     assert_kept(1..=24);
 }
 
+/// So many hosts that idle pairs of them hear of each other more rarely than
+/// vouches last.
+#[test]
+fn promises_are_kept_among_many_hosts() {
+    for seed in 1..=3 {
+        let wide = Scenario {
+            hosts: 8,
+            targets: 12,
+            jobs_per_s: 120.0,
+            load_ms: 12_000,
+            ..Scenario::new(seed)
+        };
+        let outcome = run(&wide);
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
 #[test]
 fn without_faults_all_jobs_are_completed() {
     let calm = Scenario {
--- a/crates/dispatch/src/action.rs
+++ b/crates/dispatch/src/action.rs
@@ -72,6 +72,18 @@
     },
 }
 
+impl TargetCall {
+    /// Returns the name that logs and metrics use.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Start(_) => "start",
+            Self::Stop(_) => "stop",
+            Self::Hold { .. } => "hold",
+        }
+    }
+}
+
 /// What a host wants done.
 #[derive(Clone, Debug)]
 pub enum Action {
--- a/crates/dispatch/src/dispatcher/calls.rs
+++ b/crates/dispatch/src/dispatcher/calls.rs
@@ -5,6 +5,7 @@
 impl Dispatcher {
     pub(super) fn call_peer(
         &mut self,
+        now: Millis,
         name: &Name,
         request: Request,
         purpose: Purpose,
@@ -12,13 +13,14 @@
         let peer = self.peers.all.get(name)?;
         let address = peer.info.address;
         let (session, echo) = (peer.session, peer.echo);
-        let call = self.send(address, session, echo, request);
+        let call = self.send(now, address, session, echo, request);
         self.calls.insert(call, (Some(name.clone()), purpose));
         Some(call)
     }
 
     pub(super) fn send(
         &mut self,
+        now: Millis,
         address: SocketAddr,
         session: u64,
         echo: Option<crate::message::Echo>,
@@ -30,6 +32,7 @@
             from: self.own.clone(),
             session,
             echo,
+            clock: now,
             request,
         };
         self.out.push(Action::Call {
@@ -43,7 +46,9 @@
 
     pub(super) fn send_place(&mut self, now: Millis, name: &Name, orders: Vec<TaskOrder>) {
         let keys: Vec<RunKey> = orders.iter().map(|order| order.key.clone()).collect();
-        if let (Some(first), Some(peer)) = (keys.first(), self.peers.all.get(name)) {
+        let pace = self.peers.pace();
+        if let (Some(first), Some(peer)) = (keys.first(), self.peers.all.get_mut(name)) {
+            peer.come_close(now, &pace);
             self.out.push(Action::Note(Note::Asked {
                 peer: name.clone(),
                 first: first.clone(),
@@ -51,7 +56,7 @@
                 age_ms: now.saturating_sub(peer.free_at),
             }));
         }
-        self.call_peer(name, Request::Place(orders), Purpose::Place(keys));
+        self.call_peer(now, name, Request::Place(orders), Purpose::Place(keys));
     }
 
     pub(super) fn peer_replied(
@@ -66,14 +71,19 @@
         let Some(name) = name else {
             return self.seed_replied(now, reply);
         };
+        let pace = self.peers.pace();
         if let Ok(reply) = &reply {
+            let heard = self.peers.all.get(&name).map_or(0, |peer| peer.echoed);
             if self.peers.replied(now, &name, reply) {
-                self.lose_session(now, &name);
+                self.lose_session(now, &name, heard);
             }
             if let Some(peer) = self.peers.all.get_mut(&name) {
                 if !matches!(reply.body, ReplyBody::Stale) {
                     peer.acked = Some(now);
                 }
+                if !matches!(purpose, Purpose::Beat) {
+                    peer.put_beat_off(now, &pace);
+                }
             }
         } else if let (Err(SendFailure::Refused), Some(peer)) =
             (&reply, self.peers.all.get_mut(&name))
@@ -111,7 +121,7 @@
                 }) = &reply
                 {
                     self.peers.beat_replied(now, name, beat);
-                    self.fetch_queues(name);
+                    self.fetch_queues(now, name);
                 }
             }
             Purpose::Seed | Purpose::Want => {}
@@ -198,10 +208,10 @@
         }
     }
 
-    pub(super) fn fetch_queues(&mut self, name: &Name) {
+    pub(super) fn fetch_queues(&mut self, now: Millis, name: &Name) {
         let newer = self.peers.all.get(name).map_or(0, |peer| peer.version) > self.version();
         if newer && !self.fetching {
-            let call = self.call_peer(name, Request::Queues, Purpose::Queues);
+            let call = self.call_peer(now, name, Request::Queues, Purpose::Queues);
             self.fetching = call.is_some();
         }
     }
--- a/crates/dispatch/src/dispatcher/due.rs
+++ b/crates/dispatch/src/dispatcher/due.rs
@@ -6,15 +6,23 @@
     pub(super) fn tick(&mut self, now: Millis) {
         self.next_tick = now + IDLE_TICK_MS;
         self.jobs.tick(now);
+        self.assign(now);
+        self.keeper.tick(now);
+        self.send_beats(now);
+        self.peers.forget(now);
+        self.stop_if_done(now);
+    }
+
+    fn assign(&mut self, now: Millis) {
+        if now < self.next_assignment {
+            return;
+        }
+        self.next_assignment = now + ASSIGNMENT_MS;
         let may_take = self.started.is_some_and(|at| at + SETTLE_MS <= now);
         let staying = self.staying(now);
         let peers = &self.peers;
         self.keeper
             .assign(now, &staying, |id| peers.is_kept(now, id), may_take);
-        self.keeper.tick(now);
-        self.send_beats(now);
-        self.peers.forget(now);
-        self.stop_if_done(now);
     }
 
     /// Returns the hosts that share the targets: those that stay, or this one
@@ -33,21 +41,26 @@
         self.stopping.is_none() || self.peers.staying(now, false).is_empty()
     }
 
+    pub(super) fn beat(&self) -> Beat {
+        Beat {
+            leaving: self.stopping.is_some(),
+            version: self.version(),
+            hosts_hash: self.peers.hash(),
+        }
+    }
+
     pub(super) fn send_beats(&mut self, now: Millis) {
+        self.peers.set_close(now, &self.jobs.peers_with_runs());
         let (peers, seeds) = (self.peers.beats_due(now), self.peers.seeds_due(now));
         if peers.is_empty() && seeds.is_empty() {
             return;
         }
-        let beat = Beat {
-            leaving: self.stopping.is_some(),
-            version: self.version(),
-            hosts_hash: self.peers.hash(),
-        };
+        let beat = self.beat();
         for name in peers {
-            self.call_peer(&name, Request::Beat(beat.clone()), Purpose::Beat);
+            self.call_peer(now, &name, Request::Beat(beat.clone()), Purpose::Beat);
         }
         for seed in seeds {
-            let call = self.send(seed, 0, None, Request::Beat(beat.clone()));
+            let call = self.send(now, seed, 0, None, Request::Beat(beat.clone()));
             self.calls.insert(call, (None, Purpose::Seed));
         }
     }
@@ -125,7 +138,7 @@
             return;
         }
         let ends = std::mem::take(&mut peer.ends);
-        let call = self.call_peer(name, Request::Ended(ends.clone()), Purpose::Ended);
+        let call = self.call_peer(now, name, Request::Ended(ends.clone()), Purpose::Ended);
         let peer = self.peers.all.get_mut(name).expect("the peer is known");
         peer.telling = call.map(|call| (call, ends));
     }
@@ -142,7 +155,7 @@
             .partition(|(_, other)| *other == report);
         peer.stops = later;
         let keys = now_sent.iter().map(|(key, _)| key.clone()).collect();
-        let call = self.call_peer(name, Request::Stop { keys, report }, Purpose::Stop);
+        let call = self.call_peer(now, name, Request::Stop { keys, report }, Purpose::Stop);
         let peer = self.peers.all.get_mut(name).expect("the peer is known");
         peer.stopping = call.map(|call| (call, now_sent));
     }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -25,13 +25,15 @@
 use crate::peers::{Peers, WANT_MS};
 use crate::queues::Queues;
 use crate::settings::{BoundsError, Settings, Times};
-use crate::spec::check_id;
+use crate::spec::{check_id, Room};
 use crate::Millis;
 
 /// Between looks at what is due.
 const TICK_MS: Millis = 10;
 /// Longest sleep where nothing is under way.
 const IDLE_TICK_MS: Millis = 50;
+/// Between looks at which targets are this host's.
+const ASSIGNMENT_MS: Millis = 50;
 /// After its start a host waits this long for news of others before it takes
 /// targets.
 const SETTLE_MS: Millis = 250;
@@ -79,6 +81,7 @@
     stopping: Option<Millis>,
     stopped: bool,
     next_tick: Millis,
+    next_assignment: Millis,
     want: Option<(Want, Millis)>,
     fetching: bool,
     out: Vec<Action>,
@@ -113,6 +116,7 @@
             stopping: None,
             stopped: false,
             next_tick: 0,
+            next_assignment: 0,
             want: None,
             fetching: false,
             out: Vec::new(),
@@ -148,8 +152,9 @@
     /// Returns how many peers are taken to live.
     #[must_use]
     pub fn live_peers(&self, now: Millis) -> usize {
+        let pace = self.peers.pace();
         let peers = self.peers.all.values();
-        peers.filter(|peer| peer.is_alive(now, &self.times)).count()
+        peers.filter(|peer| peer.is_alive(now, &pace)).count()
     }
 
     /// Takes other seeds.
--- a/crates/dispatch/src/dispatcher/placement.rs
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -2,6 +2,25 @@
 
 use super::*;
 
+/// Rooms for which there was no room in one pass; in its course room only
+/// becomes less.
+#[derive(Default)]
+struct Unfit(Vec<Room>);
+
+impl Unfit {
+    /// Tells whether a room may fit: asks only if no smaller one was refused.
+    fn may_fit(&mut self, room: &Room, ask: impl FnOnce(&Room) -> bool) -> bool {
+        if self.0.iter().any(|unfit| room.fits(unfit)) {
+            return false;
+        }
+        let fits = ask(room);
+        if !fits {
+            self.0.push(*room);
+        }
+        fits
+    }
+}
+
 impl Dispatcher {
     /// Finds room for what waits, here and at peers, the most urgent first.
     pub(super) fn schedule(&mut self, now: Millis) {
@@ -12,10 +31,13 @@
         let starts_here = self.starts_here(now);
         let mut left: Vec<WaitingTask> = Vec::new();
         let mut batches: BTreeMap<Name, Vec<TaskOrder>> = BTreeMap::new();
+        let (mut full_here, mut full_there) = (Unfit::default(), Unfit::default());
         for task in self.jobs.waiting(now, MAX_LOOKED_AT) {
             self.serve_wants(now, Some(&task));
-            let here = starts_here && self.keeper.may_fit(now, &task.room);
-            let there = task.may_ask && self.peers.may_fit(now, &task.room);
+            let here =
+                starts_here && full_here.may_fit(&task.room, |r| self.keeper.may_fit(now, r));
+            let there =
+                task.may_ask && full_there.may_fit(&task.room, |r| self.peers.may_fit(now, r));
             if !here && !there {
                 left.push(task);
                 continue;
@@ -26,11 +48,16 @@
                 continue;
             }
             let peer = there.then(|| self.peers.with_room(now, &order));
-            if let Some(peer) = peer.flatten() {
-                self.jobs.asked(now, &task.job, task.index, &peer);
-                batches.entry(peer).or_default().push(order);
-            } else {
-                left.push(task);
+            match peer.flatten() {
+                Some(peer) if peer.warm => {
+                    self.jobs.asked(now, &task.job, task.index, &peer.name);
+                    batches.entry(peer.name).or_default().push(order);
+                }
+                Some(peer) => {
+                    self.warm(now, &peer.name);
+                    left.push(task);
+                }
+                None => left.push(task),
             }
         }
         self.serve_wants(now, None);
@@ -40,16 +67,30 @@
         self.tell_want(now, &left);
     }
 
+    /// Asks a peer for its clock, so that tasks can be handed to it.
+    fn warm(&mut self, now: Millis, name: &Name) {
+        let Some(peer) = self.peers.all.get_mut(name) else {
+            return;
+        };
+        if peer.warming.is_some_and(|at| at + RETRY_MS > now) {
+            return;
+        }
+        peer.warming = Some(now);
+        let beat = Request::Beat(self.beat());
+        self.call_peer(now, name, beat, Purpose::Beat);
+    }
+
     /// Offers room to peers whose wants are more urgent than a task here.
     pub(super) fn serve_wants(&mut self, now: Millis, next: Option<&WaitingTask>) {
         let wanted = self.peers.all.values().any(|peer| peer.want.is_some());
         if self.stopping.is_some() || !wanted {
             return;
         }
+        let pace = self.peers.pace();
         loop {
             let wants = self.peers.all.iter().filter_map(|(name, peer)| {
                 let (want, heard, until) = peer.want.as_ref()?;
-                let open = *until > now && peer.takes_tasks(now, &self.times) && !peer.lapsed;
+                let open = *until > now && peer.takes_tasks(now, &pace);
                 let urge = Urge {
                     rank: want.urge.rank,
                     slack_ms: want.urge.slack_ms - now.saturating_sub(*heard) as i64,
@@ -68,7 +109,7 @@
             let Some(free) = self.keeper.offer(now, &name, &want) else {
                 return;
             };
-            self.call_peer(&name, Request::Offer(free), Purpose::Offer);
+            self.call_peer(now, &name, Request::Offer(free), Purpose::Offer);
             // The next offer to it waits until it says again what it wants.
             if let Some(peer) = self.peers.all.get_mut(&name) {
                 if let Some((want, _, _)) = &mut peer.want {
@@ -101,12 +142,8 @@
             return;
         }
         self.want = Some((want.clone(), now));
-        let names: Vec<Name> = self.peers.all.keys().cloned().collect();
-        for name in names {
-            let alive = self.peers.all[&name].takes_tasks(now, &self.times);
-            if alive {
-                self.call_peer(&name, Request::Want(Some(want.clone())), Purpose::Want);
-            }
+        for name in self.peers.to_be_asked(now) {
+            self.call_peer(now, &name, Request::Want(Some(want.clone())), Purpose::Want);
         }
     }
 }
--- a/crates/dispatch/src/dispatcher/requests.rs
+++ b/crates/dispatch/src/dispatcher/requests.rs
@@ -13,6 +13,12 @@
             return self.reply(now, token, ReplyBody::Stale);
         }
         peer.heard = now;
+        // Of another life than the last reply's only a reply tells: with it,
+        // runs of the earlier life are given up.
+        let life = envelope.from.incarnation;
+        if peer.echo.is_some_and(|echo| echo.incarnation == life) {
+            peer.hear_clock(now, life, envelope.clock);
+        }
         if peer.their_session != envelope.session {
             let newer = envelope.session > peer.their_session;
             if newer {
--- a/crates/dispatch/src/dispatcher/rights.rs
+++ b/crates/dispatch/src/dispatcher/rights.rs
@@ -6,13 +6,13 @@
     pub(super) fn lose_lapsed(&mut self, now: Millis) {
         let mut unvouched = Vec::new();
         let mut lost = Vec::new();
+        let pace = self.peers.pace();
         for (name, peer) in &mut self.peers.all {
             if !peer.lapsed && peer.vouched_until <= now {
                 peer.lapsed = true;
-                peer.want = None;
                 unvouched.push(name.clone());
             }
-            let alive = peer.is_alive(now, &self.times);
+            let alive = peer.is_alive(now, &pace);
             if peer.lived && !alive {
                 lost.push(name.clone());
             }
@@ -30,16 +30,17 @@
             self.keeper.stop_owner(now, &name, u64::MAX, "owner silent");
         }
         for name in lost {
-            self.lose_session(now, &name);
+            let heard = self.peers.all[&name].echoed;
+            self.lose_session(now, &name, heard);
         }
     }
 
-    /// Gives all runs at a peer up.
-    pub(super) fn lose_session(&mut self, now: Millis, name: &Name) {
+    /// Gives all runs at a peer up that was last heard at `heard`.
+    pub(super) fn lose_session(&mut self, now: Millis, name: &Name, heard: Millis) {
         let Some(peer) = self.peers.all.get_mut(name) else {
             return;
         };
-        let mut over = peer.acked.unwrap_or(now) + self.times.over;
+        let mut over = heard + self.times.over;
         if !self.settings.safeguards.lost_runs_are_waited_for {
             over = now;
         }
@@ -47,6 +48,7 @@
         peer.stops.clear();
         peer.stopping = None;
         peer.free.clear();
+        peer.close_since = None;
         let runs = self.jobs.peer_lost(name, over);
         if runs > 0 {
             self.out.push(Action::Note(Note::SessionLost {
--- a/crates/dispatch/src/dispatcher/stopping.rs
+++ b/crates/dispatch/src/dispatcher/stopping.rs
@@ -12,6 +12,7 @@
             peer.next_beat = now;
         }
         self.next_tick = now;
+        self.next_assignment = now;
     }
 
     pub(super) fn stop_if_done(&mut self, now: Millis) {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -204,3 +204,16 @@
     /// The process is asked to stop in order.
     Stop,
 }
+
+impl Event {
+    /// Returns the name that logs and metrics use for a caller's request.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit { .. } => "submit",
+            Self::Ask { .. } => "ask",
+            Self::Cancel { .. } => "cancel",
+            _ => "other",
+        }
+    }
+}
--- a/crates/dispatch/src/jobs/ending.rs
+++ b/crates/dispatch/src/jobs/ending.rs
@@ -7,25 +7,27 @@
     pub fn tick(&mut self, now: Millis) {
         self.ended.retain(|_, (_, until)| *until > now);
         self.next_runs.retain(|_, (_, until)| *until > now);
-        let mut ends = Vec::new();
-        let ids: Vec<Name> = self.jobs.keys().cloned().collect();
-        for id in ids {
-            self.rank(now, &id);
+        let due = self.jobs.iter().filter(|(_, job)| job.next_look <= now);
+        let due: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.look_at(now, &id);
         }
-        for (id, job) in &mut self.jobs {
-            for task in &mut job.tasks {
-                if matches!(task.state, TaskState::Lost(over) if over <= now) {
-                    task.run += 1;
-                    task.state = TaskState::Waiting;
-                }
-            }
-            if let Some(cause) = due_end(now, job) {
-                ends.push((id.clone(), cause));
+    }
+
+    /// Does what is due for one job.
+    fn look_at(&mut self, now: Millis, id: &Name) {
+        let job = self.jobs.get_mut(id).expect("the job was found");
+        for task in &mut job.tasks {
+            if matches!(task.state, TaskState::Lost(over) if over <= now) {
+                task.run += 1;
+                task.state = TaskState::Waiting;
             }
         }
-        for (id, cause) in ends {
-            self.end(now, &id, cause);
+        if let Some(cause) = due_end(now, job) {
+            return self.end(now, id, cause);
         }
+        job.next_look = job.next_due();
+        self.rank(now, id);
     }
 
     /// Ends all jobs, since the host does.
--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -4,7 +4,7 @@
 mod runs;
 mod waiting;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use gannetridge_wire::Name;
 
@@ -85,6 +85,8 @@
     starts: u32,
     /// Where it stands among those with tasks that wait.
     ready: Option<Ready>,
+    /// Nothing is due before.
+    next_look: Millis,
 }
 
 impl Job {
@@ -119,6 +121,18 @@
         done.filter(|task| task.state == TaskState::Done).count()
     }
 
+    /// Returns when something is due next: with tasks that wait, at any moment.
+    fn next_due(&self) -> Millis {
+        let times = self.tasks.iter().map(|task| match &task.state {
+            TaskState::Waiting => 0,
+            TaskState::Lost(over) => *over,
+            TaskState::Blocked | TaskState::Asked(_) | TaskState::Runs(_) | TaskState::Done => {
+                self.deadline
+            }
+        });
+        times.min().unwrap_or(0).min(self.deadline)
+    }
+
     /// Lets tasks wait whose earlier steps are done.
     fn unblock(&mut self) {
         let tasks = self.tasks.iter();
@@ -286,6 +300,7 @@
             begun: false,
             starts: 0,
             ready: None,
+            next_look: 0,
         };
         job.unblock();
         self.by_token.insert(token, id.clone());
--- a/crates/dispatch/src/jobs/runs.rs
+++ b/crates/dispatch/src/jobs/runs.rs
@@ -20,6 +20,7 @@
                 job.starts += 1;
             }
             job.tasks[index].state = state;
+            job.next_look = 0;
             self.rank(now, id);
         }
     }
@@ -74,6 +75,7 @@
             }
         }
         job.begun = true;
+        job.next_look = 0;
         match end.end {
             End::Done => {
                 task.state = TaskState::Done;
@@ -105,6 +107,17 @@
         self.rank(now, &id);
     }
 
+    /// Returns the peers that have been handed tasks which aren't over.
+    #[must_use]
+    pub fn peers_with_runs(&self) -> HashSet<Name> {
+        let tasks = self.jobs.values().flat_map(|job| &job.tasks);
+        let peers = tasks.filter_map(|task| match &task.state {
+            TaskState::Asked(peer) | TaskState::Runs(Some(peer)) => Some(peer),
+            _ => None,
+        });
+        peers.cloned().collect()
+    }
+
     /// Runs at a peer may go on until `over` and then no longer.
     ///
     /// Returns how many there are.
@@ -118,6 +131,7 @@
                 };
                 if there {
                     job.begun = true;
+                    job.next_look = 0;
                     task.state = TaskState::Lost(over);
                     lost += 1;
                 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod keeper;
 pub mod message;
 pub mod note;
+pub mod pace;
 pub mod peers;
 pub mod queues;
 pub mod settings;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -40,6 +40,8 @@
     pub session: u64,
     /// The receiver's clock as the sender last heard it.
     pub echo: Option<Echo>,
+    /// The sender's clock when it sent this.
+    pub clock: Millis,
     /// What is asked.
     pub request: Request,
 }
@@ -169,6 +171,22 @@
     Queues,
 }
 
+impl Request {
+    /// Returns the name that logs and metrics use.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "beat",
+            Self::Place(_) => "place",
+            Self::Want(_) => "want",
+            Self::Offer(_) => "offer",
+            Self::Stop { .. } => "stop",
+            Self::Ended(_) => "ended",
+            Self::Queues => "queues",
+        }
+    }
+}
+
 /// A host's heartbeat.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Beat {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -35,6 +35,8 @@
     pub answers: Vec<(Token, Answer)>,
     pub calls: Vec<Called>,
     pub requests: Vec<(CallId, Envelope)>,
+    /// Where requests to peers were sent.
+    pub addresses: std::collections::HashMap<CallId, std::net::SocketAddr>,
     pub replies: Vec<(Token, Reply)>,
     pub stopped: bool,
 }
@@ -116,6 +118,7 @@
             answers: Vec::new(),
             calls: Vec::new(),
             requests: Vec::new(),
+            addresses: std::collections::HashMap::new(),
             replies: Vec::new(),
             stopped: false,
         };
@@ -146,7 +149,15 @@
                     target: id.to_string(),
                     order,
                 }),
-                Action::Call { call, envelope, .. } => self.requests.push((call, *envelope)),
+                Action::Call {
+                    call,
+                    address,
+                    envelope,
+                    ..
+                } => {
+                    self.addresses.insert(call, address);
+                    self.requests.push((call, *envelope));
+                }
                 Action::Reply { token, reply } => self.replies.push((token, *reply)),
                 Action::Stopped => self.stopped = true,
                 Action::Note(_) => {}
@@ -286,6 +297,7 @@
                 incarnation: 5,
                 clock: self.now,
             }),
+            clock: 0,
             request,
         };
         self.event(Event::Peer {
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -17,6 +17,7 @@
 use crate::peer_api;
 use crate::process::Reloader;
 use crate::signals::Signals;
+use crate::traffic::{Traffic, Way};
 
 /// A look at the dispatcher.
 pub type Look = Box<dyn FnOnce(&Dispatcher, &Metrics)>;
@@ -52,6 +53,8 @@
     pub outside: Outside,
     /// The metrics.
     pub metrics: Metrics,
+    /// Counts messages.
+    pub traffic: Traffic,
     /// Tells other tasks that the host is stopping.
     pub stopping: Stopping,
     /// Signals.
@@ -83,6 +86,7 @@
                 Ok(Some(message)) => self.on_message(message),
             }
             self.look_at_signals();
+            self.traffic.tell(self.now());
         }
     }
 
@@ -102,10 +106,13 @@
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Caller(event, token, tx) => {
+                self.traffic.count(Way::FromCaller, event.kind());
                 self.callers.insert(token, tx);
                 self.handle(event);
             }
             Message::Peer(envelope, token, tx) => {
+                let kind = envelope.request.kind();
+                self.traffic.count(Way::FromPeer, kind);
                 self.waiting_peers.insert(token, tx);
                 self.handle(Event::Peer { token, envelope });
                 // A request that is passed over has no reply.
@@ -120,6 +127,7 @@
             Message::Look(look) => {
                 let now = self.now();
                 let dropped = self.log_dropped.dropped_lines() as u64;
+                self.traffic.publish();
                 self.metrics.observe(now, &self.dispatcher, dropped);
                 look(&self.dispatcher, &self.metrics);
             }
@@ -153,6 +161,7 @@
                 envelope,
                 wait_ms,
             } => {
+                self.traffic.count(Way::ToPeer, envelope.request.kind());
                 let (client, tx) = (self.peers.clone(), self.tx.clone());
                 monoio::spawn(async move {
                     let reply = peer_api::call(&client, address, &envelope, wait_ms).await;
@@ -167,6 +176,7 @@
                 order,
                 wait_ms,
             } => {
+                self.traffic.count(Way::ToTarget, order.kind());
                 let tx = self.tx.clone();
                 let calling = address.parse().ok().map(|address| {
                     (self.outside.call_target)(TargetOrder {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod signals;
 pub mod store_task;
+pub mod traffic;
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -3,11 +3,13 @@
 use gannetridge_dispatch::message::End;
 use gannetridge_dispatch::note::Cause;
 use gannetridge_dispatch::{Dispatcher, Millis, Note};
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// The instrumentation scope of all metrics.
+const SCOPE: &str = "gannetridge";
 /// Bounds of the histograms of times, in ms.
 const MS: [f64; 16] = [
     5.0, 10.0, 25.0, 50.0, 75.0, 100.0, 150.0, 200.0, 300.0, 500.0, 750.0, 1_000.0, 1_500.0,
@@ -36,7 +38,7 @@
     peers: Gauge<u64>,
     log_dropped: Gauge<u64>,
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
 impl Metrics {
@@ -52,7 +54,7 @@
             .without_target_info()
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("gannetridge");
+        let meter = provider.meter(SCOPE);
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -82,12 +84,18 @@
             peers: gauge("peers_alive", "Peers that are taken to live"),
             log_dropped: gauge("log_lines_dropped", "Log lines dropped"),
             registry,
-            _provider: provider,
+            provider,
         };
         metrics.store.record(1, &[]);
         Ok(metrics)
     }
 
+    /// Returns the meter, for metrics that others keep.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(SCOPE)
+    }
+
     /// Counts what a host notes.
     pub fn note(&self, note: &Note) {
         match note {
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::store_task::{announce, follow, Reachable};
+use crate::traffic::Traffic;
 
 /// Between looks at the settings file, which may change without a signal.
 const LOOK_MS: Millis = 2_000;
@@ -116,6 +117,7 @@
         incarnation = epoch_ms,
         bounds = ?settings.bounds,
     );
+    let metrics = Metrics::new()?;
     let core = CoreTask {
         dispatcher,
         started,
@@ -123,7 +125,8 @@
         tx,
         peers: Client::new(client_limits()),
         outside,
-        metrics: Metrics::new()?,
+        traffic: Traffic::new(&metrics.meter()),
+        metrics,
         stopping,
         signals,
         reloader: Reloader::new(path, settings),
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -23,6 +23,17 @@
         meta = "N"
     )]
     load_ms: u64,
+    #[options(
+        no_short,
+        help = "hosts in each of three halls",
+        default = "2",
+        meta = "N"
+    )]
+    hosts: usize,
+    #[options(no_short, help = "targets in each hall", default = "4", meta = "N")]
+    targets: usize,
+    #[options(no_short, help = "jobs a second", default = "30", meta = "N")]
+    rate: f64,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -30,11 +41,13 @@
 /// Runs the seeds and prints what came of them. Fails on any violation.
 pub fn run(options: &Dispatch) -> anyhow::Result<()> {
     let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
-    let (load_ms, verbose) = (options.load_ms, options.verbose);
     let outcomes = map(&seeds, |seed| {
         play(&Scenario {
-            load_ms,
-            verbose,
+            load_ms: options.load_ms,
+            verbose: options.verbose,
+            hosts: options.hosts,
+            targets: options.targets,
+            jobs_per_s: options.rate,
             ..Scenario::new(*seed)
         })
     });
