Ask the freer of two peers, and few peers at once

Change: peers that are asked anyway go first; of the others the freer of two, picked by the task's name.

Tests: few requests for a job of many tasks; targets in proportion to power.

--- a/crates/dispatch/src/dispatcher/placement.rs
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -47,7 +47,8 @@
                 self.jobs.started(now, &task.job, task.index);
                 continue;
             }
-            let peer = there.then(|| self.peers.with_room(now, &order));
+            let is_asked = |name: &Name| batches.contains_key(name);
+            let peer = there.then(|| self.peers.with_room(now, &order, is_asked));
             match peer.flatten() {
                 Some(peer) if peer.warm => {
                     self.jobs.asked(now, &task.job, task.index, &peer.name);
--- a/crates/dispatch/src/peers/mod.rs
+++ b/crates/dispatch/src/peers/mod.rs
@@ -210,24 +210,37 @@
 
     /// Picks a peer that is believed to have room, its own hall first, and
     /// takes the room off that belief.
-    pub fn with_room(&mut self, now: Millis, order: &TaskOrder) -> Option<Candidate> {
+    ///
+    /// Peers that `is_asked` tells to be asked at the same time go before
+    /// others, so that one request carries many tasks. Of the others the freer
+    /// of two is taken: with the freest of all, all hosts would ask the same.
+    pub fn with_room(
+        &mut self,
+        now: Millis,
+        order: &TaskOrder,
+        is_asked: impl Fn(&Name) -> bool,
+    ) -> Option<Candidate> {
         let pace = self.pace;
-        let own_hall = self.own.hall.clone();
-        let open = self.all.values_mut();
-        let open = open.filter(|peer| peer.takes_tasks(now, &pace));
-        let mut open: Vec<&mut Peer> = open.collect();
-        open.sort_by_cached_key(|peer| {
-            let far = peer.info.hall != own_hall;
-            (far, !peer.is_warm(now, &pace), u32::MAX - peer.total_free())
-        });
-        let mut found = open.into_iter().filter_map(|peer| {
-            let fits = peer.reserve(order);
-            fits.then(|| Candidate {
-                name: peer.info.name.clone(),
-                warm: peer.is_warm(now, &pace),
-            })
-        });
-        found.next()
+        let rank = |peer: &Peer| {
+            let far = peer.info.hall != self.own.hall;
+            let asked = is_asked(&peer.info.name);
+            (far, !asked, !peer.is_warm(now, &pace))
+        };
+        let open = self.all.values();
+        let open = open.filter(|peer| peer.takes_tasks(now, &pace) && peer.has_room(order));
+        let ranked: Vec<_> = open.map(|peer| (rank(peer), peer)).collect();
+        let best = ranked.iter().map(|(rank, _)| *rank).min()?;
+        let best = ranked.iter().filter(|(rank, _)| *rank == best);
+        let best: Vec<&Peer> = best.map(|(_, peer)| *peer).collect();
+        let picked = freer_of_two(&best, &order.key.task);
+        let candidate = Candidate {
+            name: picked.info.name.clone(),
+            warm: picked.is_warm(now, &pace),
+        };
+        if let Some(peer) = self.all.get_mut(&candidate.name) {
+            peer.reserve(order);
+        }
+        Some(candidate)
     }
 
     /// Returns the peers that a heartbeat is due to.
@@ -296,3 +309,15 @@
         }
     }
 }
+
+/// Returns the freer of two peers that a task's name picks.
+fn freer_of_two<'a>(peers: &[&'a Peer], task: &str) -> &'a Peer {
+    let hash = xxh3_64(task.as_bytes());
+    let at = |part: u64| peers[(part % peers.len() as u64) as usize];
+    let (first, second) = (at(hash >> 32), at(hash & 0xffff_ffff));
+    if second.total_free() > first.total_free() {
+        second
+    } else {
+        first
+    }
+}
--- a/crates/dispatch/src/peers/peer.rs
+++ b/crates/dispatch/src/peers/peer.rs
@@ -168,15 +168,19 @@
         self.is_alive(now, pace) && !self.leaving
     }
 
+    /// Tells whether it is believed to have room for an order.
+    pub(super) fn has_room(&self, order: &TaskOrder) -> bool {
+        let mut free = self.free.iter();
+        free.any(|f| f.pool == order.pool && f.room.fits(&order.room))
+    }
+
     /// Takes room off what it is believed to have free, if an order fits.
-    pub(super) fn reserve(&mut self, order: &TaskOrder) -> bool {
+    pub(super) fn reserve(&mut self, order: &TaskOrder) {
         let fitting = self.free.iter_mut();
         let fitting = fitting.filter(|f| f.pool == order.pool && f.room.fits(&order.room));
-        let Some(free) = fitting.min_by_key(|free| free.room.cpu) else {
-            return false;
-        };
-        free.room = free.room.less(&order.room);
-        true
+        if let Some(free) = fitting.min_by_key(|free| free.room.cpu) {
+            free.room = free.room.less(&order.room);
+        }
     }
 
     pub(super) fn total_free(&self) -> u32 {
--- /dev/null
+++ b/crates/dispatch/tests/assignment.rs
@@ -0,0 +1,52 @@
+//! Which host looks after which target.
+
+use std::collections::HashMap;
+
+use gannetridge_dispatch::assignment::keeper;
+use gannetridge_dispatch::message::HostInfo;
+
+fn hosts(powers: &[u32]) -> Vec<HostInfo> {
+    let hosts = powers.iter().enumerate();
+    let hosts = hosts.map(|(index, power)| HostInfo {
+        name: format!("host-{index}").into(),
+        address: ([127, 0, 0, 1], index as u16 + 1).into(),
+        hall: "north".into(),
+        incarnation: 1,
+        power: *power,
+    });
+    hosts.collect()
+}
+
+fn share(hosts: &[HostInfo]) -> HashMap<String, usize> {
+    let mut share = HashMap::new();
+    for target in 0..2_000 {
+        let host = keeper(&format!("target-{target}"), "north", hosts).expect("there are hosts");
+        *share.entry(host.name.to_string()).or_default() += 1;
+    }
+    share
+}
+
+#[test]
+fn hosts_get_targets_in_proportion_to_their_power() {
+    let share = share(&hosts(&[100, 100, 400]));
+    let large = share["host-2"];
+    assert!((1_200..1_460).contains(&large), "{share:?}");
+}
+
+#[test]
+fn a_host_that_goes_moves_only_its_own_targets() {
+    let all = hosts(&[100, 250, 400, 100]);
+    for target in 0..500 {
+        let target = format!("target-{target}");
+        let before = keeper(&target, "north", &all).expect("there are hosts");
+        let after = keeper(&target, "north", &all[..3]).expect("there are hosts");
+        assert!(before.name == all[3].name || before == after);
+    }
+}
+
+#[test]
+fn a_hall_without_hosts_is_looked_after_by_others() {
+    let all = hosts(&[0, 100]);
+    assert!(keeper("target", "south", &all).is_some());
+    assert!(keeper("target", "north", &[]).is_none());
+}
--- a/crates/dispatch/tests/many_peers.rs
+++ b/crates/dispatch/tests/many_peers.rs
@@ -125,3 +125,17 @@
         assert!(age < vouch, "what vouches for the run is {age} ms old");
     }
 });
+
+case!(one_request_carries_all_that_fits_at_a_peer, {
+    let mut rig = among(48);
+    beats_in(&mut rig, 5_000, 64_000);
+    rig.submit(1, ID, vec![step(8, 7_000, 300)], 3_000);
+    // Those whose clock wasn't heard of late are asked for it first.
+    rig.answer_beats(64_000);
+    let places = rig.requests(is_place);
+    assert_eq!(places.len(), 1);
+    let Request::Place(orders) = &places[0].1.request else {
+        panic!("it places");
+    };
+    assert_eq!(orders.len(), 8);
+});
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -81,7 +81,7 @@
         while !self.stopped {
             let wait = self.dispatcher.next_timer().saturating_sub(self.now());
             match timeout(Duration::from_millis(wait), self.rx.recv()).await {
-                Err(_) => self.handle(Event::Tick),
+                Err(_) => self.on_timer(),
                 Ok(None) => return,
                 Ok(Some(message)) => self.on_message(message),
             }
@@ -90,6 +90,12 @@
         }
     }
 
+    fn on_timer(&mut self) {
+        let due = self.dispatcher.next_timer();
+        self.traffic.timer(self.now().saturating_sub(due));
+        self.handle(Event::Tick);
+    }
+
     fn look_at_signals(&mut self) {
         if self.signals.take_stop() {
             info!(event = "stopping");
--- a/crates/dispatcher/src/traffic.rs
+++ b/crates/dispatcher/src/traffic.rs
@@ -39,6 +39,10 @@
 pub struct Traffic {
     metric: Counter<u64>,
     counts: BTreeMap<(Way, &'static str), Count>,
+    /// By how much timers were late since the last log line, and how many.
+    late_ms: Millis,
+    latest_ms: Millis,
+    timers: u64,
     told: Millis,
 }
 
@@ -56,6 +60,9 @@
         Self {
             metric: metric.with_description("Messages, by way and kind").build(),
             counts: BTreeMap::new(),
+            late_ms: 0,
+            latest_ms: 0,
+            timers: 0,
             told: 0,
         }
     }
@@ -71,7 +78,20 @@
             return;
         }
         self.told = now;
-        info!(event = "traffic", messages = %Shown(&self.counts));
+        info!(
+            event = "traffic",
+            messages = %Shown(&self.counts),
+            mean_late_ms = self.late_ms / self.timers.max(1),
+            max_late_ms = self.latest_ms,
+        );
+        (self.late_ms, self.latest_ms, self.timers) = (0, 0, 0);
+    }
+
+    /// Takes note of how late a timer was: the later, the busier the process.
+    pub fn timer(&mut self, late_ms: Millis) {
+        self.late_ms += late_ms;
+        self.latest_ms = self.latest_ms.max(late_ms);
+        self.timers += 1;
     }
 
     /// Brings the metric up to date.
