--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -159,7 +159,7 @@
     stopping: &Stopping,
 ) -> anyhow::Result<()> {
     let tokens = Tokens::default();
-    let peers = listen(settings.peers)?;
+    let peers = listen(settings.peers_bind.unwrap_or(settings.peers))?;
     let (peer_tx, peer_tokens) = (tx.clone(), tokens.clone());
     monoio::spawn(serve(peers, ServerLimits::default(), move |req| {
         peer_api::handle(peer_tx.clone(), peer_tokens.clone(), req)
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -18,8 +18,12 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether the host is ready.
     pub readiness: SocketAddr,
-    /// Where peers are served.
+    /// Where peers reach it.
     pub peers: SocketAddr,
+    /// Where peers are served, if that isn't where they reach it: a forwarder
+    /// may stand between.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers_bind: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// The platform's store.
