Hear a restarted host, whatever its last life said

Cause: hosts number the sessions in which they hand runs to a peer, anew in each life. A host that heard of a peer's next life by a reply first kept the last life's session number; all requests of the new life were then taken for old ones and answered "stale", until its numbers had passed the old ones, which may be never. And an answer "stale" to the news of ended runs was taken for one that they were heard: the owner's jobs waited for their deadline though all tasks were done. Any restart after a session was given up could bring it about.

Ruled out: links (heartbeats went both ways), vouches (a new start was accepted each time).

Change: a new life begins without sessions however it is heard of; what was answered with "stale" is told again.

The seeded driver didn't see it, since it asked for no more than whole answers. Tests of the two faults in crates/dispatch/tests/peers.rs, both failed first.

--- a/crates/dispatch-lab/src/callers.rs
+++ b/crates/dispatch-lab/src/callers.rs
@@ -7,6 +7,9 @@
 use rand::Rng;
 use rand_pcg::Pcg64;
 
+/// How long a probe waits for its answer.
+const PROBE_MS: Millis = 1_500;
+
 /// A job and its caller.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -16,6 +19,8 @@
     pub tasks: usize,
     /// The job.
     pub spec: JobSpec,
+    /// The host that it asks, if that is the same each time.
+    pub probes: Option<usize>,
     /// Until when the caller waits.
     pub until: Millis,
     /// The host and token of the try that is under way.
@@ -24,6 +29,8 @@
     pub tried: Millis,
     /// Whether it has its answer, or is gone.
     pub over: bool,
+    /// Whether its job was completed.
+    pub served: bool,
 }
 
 impl Caller {
@@ -62,13 +69,28 @@
                 kept: false,
                 steps,
             },
+            probes: None,
             until: now + rng.random_range(1_800..4_500),
             waits_at: None,
             tried: 0,
             over: false,
+            served: false,
         }
     }
 
+    /// Makes a job of one short task that shows whether a host serves.
+    #[must_use]
+    pub fn probe(rng: &mut Pcg64, host: usize, number: u64, now: Millis) -> Self {
+        let mut probe = Self::draw(rng, number, now);
+        probe.probes = Some(host);
+        probe.until = now + PROBE_MS;
+        probe.tasks = 1;
+        probe.spec.steps.truncate(1);
+        probe.spec.steps[0].count = 1;
+        probe.spec.steps[0].estimate_ms = 60;
+        probe
+    }
+
     /// Returns what it sends.
     #[must_use]
     pub fn submit(&self, now: Millis) -> Box<Submit> {
--- a/crates/dispatch-lab/src/checks.rs
+++ b/crates/dispatch-lab/src/checks.rs
@@ -118,6 +118,11 @@
         self.broken(at, "answer", id.to_string());
     }
 
+    /// A host doesn't serve though nothing is harmed any more.
+    pub fn not_serving(&mut self, at: Millis, host: &Name) {
+        self.broken(at, "recovery", host.to_string());
+    }
+
     /// Looks at what only the end can show.
     pub fn finish(&mut self, at: Millis) {
         let refused = self.jobs.iter();
--- a/crates/dispatch-lab/src/world/answers.rs
+++ b/crates/dispatch-lab/src/world/answers.rs
@@ -26,12 +26,39 @@
         self.at(self.now + gap.max(1), Happening::NewJob);
     }
 
+    /// Asks one host for a short job, when all should serve.
+    pub(super) fn probe(&mut self, host: usize) {
+        let number = self.callers.len() as u64;
+        let caller = Caller::probe(&mut self.rng, host, number, self.now);
+        let step = &caller.spec.steps[0];
+        self.rooms
+            .insert(caller.id.clone(), (step.room, step.estimate_ms));
+        let index = self.callers.len();
+        self.at(caller.until, Happening::Deadline(index));
+        self.callers.push(caller);
+        self.at(self.now, Happening::Try(index));
+    }
+
+    /// Hosts that can reach a target have to complete most of their probes.
+    pub(super) fn check_recovery(&mut self) {
+        for host in 0..self.hosts.len() {
+            let callers = self.callers.iter();
+            let probes = callers.filter(|caller| caller.probes == Some(host));
+            let served = probes.filter(|caller| caller.served).count() as u64;
+            if served * 2 < PROBES {
+                let name = self.hosts[host].info.name.clone();
+                self.checks.not_serving(self.now, &name);
+            }
+        }
+    }
+
     pub(super) fn try_at(&mut self, index: usize) {
         let caller = &self.callers[index];
         if caller.over || caller.until <= self.now {
             return;
         }
-        let host = self.rng.random_range(0..self.hosts.len());
+        let any = self.rng.random_range(0..self.hosts.len());
+        let host = self.callers[index].probes.unwrap_or(any);
         if !self.hosts[host].up {
             self.come_again(index);
             return;
@@ -74,6 +101,7 @@
             _ => "other",
         };
         *self.outcome.answers.entry(kind).or_default() += 1;
+        self.callers[index].served = *answer == Answer::Completed;
         if *answer == Answer::Unfinished {
             self.come_again(index);
         } else {
--- a/crates/dispatch-lab/src/world/mod.rs
+++ b/crates/dispatch-lab/src/world/mod.rs
@@ -34,8 +34,13 @@
 const LAPSE_MS: Millis = 4_500;
 /// A caller with less time than this may get no answer in time.
 const HURRY_MS: Millis = 50;
-/// After the load, time for the last answers.
-const AFTER_MS: Millis = 8_000;
+/// After the load, time until whatever was harmed serves again.
+const RECOVERY_MS: Millis = 12_000;
+/// Between probes of each host after that, and how many there are.
+const PROBE_GAP_MS: Millis = 100;
+const PROBES: u64 = 10;
+/// Time for the last answers.
+const AFTER_MS: Millis = 3_000;
 /// Faults begin when hosts have found each other.
 const QUIET_MS: Millis = 2_000;
 /// The part of calls that are hit while they get late, or their answers lost.
@@ -115,6 +120,7 @@
         reply: TargetReply,
     },
     NewJob,
+    Probe(usize),
     Try(usize),
     Deadline(usize),
     Leave(usize),
@@ -199,6 +205,12 @@
         }
         world.at(0, Happening::Step);
         world.at(QUIET_MS, Happening::NewJob);
+        for host in 0..world.hosts.len() {
+            for number in 0..PROBES {
+                let at = scenario.load_ms + RECOVERY_MS + number * PROBE_GAP_MS;
+                world.at(at, Happening::Probe(host));
+            }
+        }
         if scenario.fault_gap_ms > 0 {
             world.at(QUIET_MS, Happening::Fault);
         }
@@ -312,7 +324,7 @@
     /// Runs to the end.
     #[must_use]
     pub fn run(mut self) -> Outcome {
-        let end = self.scenario.load_ms + AFTER_MS;
+        let end = self.scenario.load_ms + RECOVERY_MS + PROBES * PROBE_GAP_MS + AFTER_MS;
         while let Some(Reverse((time, sequence))) = self.queue.pop() {
             if time > end {
                 break;
@@ -321,6 +333,7 @@
             let happening = self.happenings.remove(&sequence).expect("it was put there");
             self.happen(happening);
         }
+        self.check_recovery();
         self.checks.finish(self.now);
         self.outcome.starts = self.checks.starts;
         self.outcome.violations = self.checks.violations;
@@ -372,6 +385,7 @@
                 self.come_back(pending, event);
             }
             Happening::NewJob => self.new_job(),
+            Happening::Probe(host) => self.probe(host),
             Happening::Try(caller) => self.try_at(caller),
             Happening::Deadline(caller) => self.deadline(caller),
             Happening::Leave(caller) => self.leave(caller),
--- a/crates/dispatch-lab/tests/promises.rs
+++ b/crates/dispatch-lab/tests/promises.rs
@@ -4,7 +4,7 @@
 use gannetridge_dispatch_lab::{run, Scenario};
 
 /// Seeds that once found a broken promise; the commits tell which.
-const FOUND: [u64; 0] = [];
+const FOUND: [u64; 4] = [3, 11, 25, 26];
 
 fn assert_kept(seeds: impl IntoIterator<Item = u64>) {
     for seed in seeds {
--- a/crates/dispatch/src/dispatcher/calls.rs
+++ b/crates/dispatch/src/dispatcher/calls.rs
@@ -141,8 +141,8 @@
                     }
                 }
             }
-            Purpose::Stop => self.stop_replied(now, call, name, reply.is_ok()),
-            Purpose::Ended => self.ended_replied(now, call, name, reply.is_ok()),
+            Purpose::Stop => self.stop_replied(now, call, name, is_noted(&reply)),
+            Purpose::Ended => self.ended_replied(now, call, name, is_noted(&reply)),
             Purpose::Queues => {
                 self.fetching = false;
                 if let Ok(Reply {
@@ -216,3 +216,9 @@
         }
     }
 }
+
+/// Tells whether a peer has taken note of what it was told.
+fn is_noted(reply: &Result<Reply, SendFailure>) -> bool {
+    let reply = reply.as_ref();
+    reply.is_ok_and(|reply| !matches!(reply.body, ReplyBody::Stale))
+}
--- a/crates/dispatch/src/peers/mod.rs
+++ b/crates/dispatch/src/peers/mod.rs
@@ -106,7 +106,7 @@
                 peer.info = info.clone();
                 peer.refused = false;
                 peer.next_beat = now;
-                peer.their_session = 0;
+                peer.begin_life(info.incarnation);
             }
             Some(_) => return,
         }
@@ -177,7 +177,9 @@
             .is_some_and(|echo| echo.incarnation != reply.incarnation);
         peer.hear_clock(now, reply.incarnation, reply.clock);
         let newer = reply.incarnation > peer.info.incarnation;
-        peer.info.incarnation = reply.incarnation;
+        if newer {
+            peer.begin_life(reply.incarnation);
+        }
         peer.heard = now;
         peer.refused = false;
         peer.free = reply.free.clone();
--- a/crates/dispatch/src/peers/peer.rs
+++ b/crates/dispatch/src/peers/peer.rs
@@ -132,6 +132,13 @@
         heard && !self.refused
     }
 
+    /// Takes note of a newer life of its process, whose sessions begin anew.
+    pub(super) fn begin_life(&mut self, incarnation: u64) {
+        self.info.incarnation = incarnation;
+        self.their_session = 0;
+        self.want = None;
+    }
+
     /// Takes its clock in, as it was when it sent what just came.
     pub fn hear_clock(&mut self, now: Millis, incarnation: u64, clock: Millis) {
         let older = self
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gannetridge_dispatch::event::SendFailure;
-use gannetridge_dispatch::message::{ReplyBody, Request};
+use gannetridge_dispatch::message::{ReplyBody, Request, RunKey, TaskOrder};
 use gannetridge_dispatch::{Answer, Event, TargetReply};
 use support::{case, peer_info, step, target, Rig};
 
@@ -22,6 +22,24 @@
     rig
 }
 
+/// An order in the peer's name.
+fn order(task: &str) -> TaskOrder {
+    TaskOrder {
+        key: RunKey {
+            task: task.into(),
+            run: 1,
+        },
+        specification: "work".into(),
+        pool: "pool".into(),
+        room: support::room(7_000),
+        estimate_ms: 900,
+        requirement: None,
+        rack: None,
+        spread: None,
+        avoid: Vec::new(),
+    }
+}
+
 case!(a_silent_peers_targets_are_taken_after_two_vouches, {
     let mut rig = with_peer(0);
     rig.pass(900);
@@ -112,20 +130,7 @@
 
 case!(work_is_taken_only_from_hosts_that_vouch_for_it, {
     let mut rig = Rig::keeping(&[target("near", 16)]);
-    let order = gannetridge_dispatch::message::TaskOrder {
-        key: gannetridge_dispatch::message::RunKey {
-            task: "00000000000000aa.0.0.0".into(),
-            run: 1,
-        },
-        specification: "work".into(),
-        pool: "pool".into(),
-        room: support::room(7_000),
-        estimate_ms: 900,
-        requirement: None,
-        rack: None,
-        spread: None,
-        avoid: Vec::new(),
-    };
+    let order = order("00000000000000aa.0.0.0");
     rig.peer_asks(1, Request::Place(vec![order.clone()]));
     assert!(matches!(rig.replies[0].1.body, ReplyBody::Placed(_)));
     assert_eq!(rig.starts().len(), 1);
@@ -148,3 +153,58 @@
     assert_eq!(rig.requests(|r| matches!(r, Request::Place(_))).len(), 1);
     assert_eq!(rig.answer_to(1), None::<&Answer>);
 });
+
+case!(
+    a_peers_next_life_is_heard_though_its_last_had_more_sessions,
+    {
+        let mut rig = with_peer(16_000);
+        // The last life has given up its runs here several times.
+        rig.peer_asks_as(1, 7, 5, Request::Want(None));
+        // A reply is the first that tells of the next life, whose sessions begin
+        // anew.
+        rig.pass(200);
+        let beats = rig.requests(|request| matches!(request, Request::Beat(_)));
+        let mut reply = rig.reply(
+            ReplyBody::Beat(gannetridge_dispatch::message::BeatReply {
+                leaving: false,
+                version: 1,
+                kept: Vec::new(),
+                hosts: Vec::new(),
+            }),
+            16_000,
+        );
+        reply.incarnation = 8;
+        rig.event(Event::PeerReply {
+            call: beats[0].0,
+            reply: Ok(reply),
+        });
+        rig.peer_asks_as(2, 8, 1, Request::Ended(Vec::new()));
+        let heard = rig.replies.iter().find(|(token, _)| token.0 == 2);
+        assert!(matches!(heard.unwrap().1.body, ReplyBody::Noted));
+    }
+);
+
+case!(ends_that_were_not_heard_are_told_again, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    let order = order("00000000000000aa.0.0.0");
+    rig.peer_asks(1, Request::Place(vec![order.clone()]));
+    let start = rig.starts().remove(0);
+    rig.target_reply(
+        start.0,
+        TargetReply::Done {
+            clock: rig.now + 500_000,
+        },
+    );
+    rig.pass(20);
+    let hold = rig.holds().remove(0);
+    let end = support::ended(1, &order.key, gannetridge_dispatch::event::ListedHow::Done);
+    rig.listing(hold.0, &[], &[end]);
+    let ended = |request: &Request| matches!(request, Request::Ended(_));
+    let told = rig.requests(ended);
+    assert_eq!(told.len(), 1);
+    let reply = Ok(rig.reply(ReplyBody::Stale, 0));
+    let call = told[0].0;
+    rig.event(Event::PeerReply { call, reply });
+    rig.pass(150);
+    assert_eq!(rig.requests(ended).len(), 1, "they are told once more");
+});
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -292,9 +292,17 @@
 
     /// A request in the peer's name.
     pub fn peer_asks(&mut self, token: u64, request: Request) {
+        self.peer_asks_as(token, peer_info().incarnation, 1, request);
+    }
+
+    /// A request in the name of one life of the peer, in a session of it.
+    pub fn peer_asks_as(&mut self, token: u64, incarnation: u64, session: u64, request: Request) {
         let envelope = Envelope {
-            from: peer_info(),
-            session: 1,
+            from: HostInfo {
+                incarnation,
+                ..peer_info()
+            },
+            session,
             echo: Some(gannetridge_dispatch::message::Echo {
                 incarnation: 5,
                 clock: self.now,
