The more urgent queue's tasks go first

Cause: a queue's urgency was read and used nowhere: among jobs that can still meet their aim the earliest latest start went first, whosever it was, so that in a burst the calm queue's large jobs took the room of urgent ones.

Change: within a rank (begun, in aim, late) the urgency decides, then the latest start; wants carry it, so offers go by it too.

Test: of_two_queues_the_more_urgent_ones_tasks_go_first, failed first.

--- a/crates/dispatch/src/dispatcher/placement.rs
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -94,6 +94,7 @@
                 let open = *until > now && peer.takes_tasks(now, &pace);
                 let urge = Urge {
                     rank: want.urge.rank,
+                    urgency: want.urge.urgency,
                     slack_ms: want.urge.slack_ms - now.saturating_sub(*heard) as i64,
                 };
                 open.then_some((urge, name, want))
--- a/crates/dispatch/src/jobs/mod.rs
+++ b/crates/dispatch/src/jobs/mod.rs
@@ -101,7 +101,11 @@
             (false, true, _) => (Rank::InAim, slack),
             (false, false, _) => (Rank::Late, late_slack),
         };
-        Urge { rank, slack_ms }
+        Urge {
+            rank,
+            urgency: self.queue.urgency,
+            slack_ms,
+        }
     }
 
     /// Returns for how long an answer is worth something.
@@ -155,6 +159,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Ready {
     rank: Rank,
+    urgency: u8,
     /// The latest start that keeps the rank.
     latest: i64,
     job: Name,
--- a/crates/dispatch/src/jobs/waiting.rs
+++ b/crates/dispatch/src/jobs/waiting.rs
@@ -17,6 +17,7 @@
             let job = &self.jobs[&ready.job];
             let urge = Urge {
                 rank: ready.rank,
+                urgency: ready.urgency,
                 slack_ms: ready.latest - now as i64,
             };
             for (index, task) in job.tasks.iter().enumerate() {
@@ -50,6 +51,7 @@
         let ready = least.filter(|urge| urge.rank != Rank::Worthless);
         let ready = ready.map(|urge| Ready {
             rank: urge.rank,
+            urgency: urge.urgency,
             latest: urge.slack_ms + now as i64,
             job: id.clone(),
         });
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -98,6 +98,8 @@
 pub struct Urge {
     /// Goes first; see [`Rank`].
     pub rank: Rank,
+    /// The queue's: 0 goes before others of its rank.
+    pub urgency: u8,
     /// Until the latest start that keeps the rank, in ms from now.
     pub slack_ms: i64,
 }
--- a/crates/dispatch/tests/answers.rs
+++ b/crates/dispatch/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use gannetridge_dispatch::event::{ListedHow, SendFailure};
 use gannetridge_dispatch::message::Request;
-use gannetridge_dispatch::{Answer, Event};
+use gannetridge_dispatch::{Answer, Event, TargetReply};
 use support::{case, ended, peer_info, step, target, Rig};
 
 const ID: &str = "5c0e7a21d94b36f8";
@@ -147,3 +147,40 @@
         "{starts:?}"
     );
 });
+
+case!(of_two_queues_the_more_urgent_ones_tasks_go_first, {
+    let mut rig = Rig::keeping(&[target("near", 16)]);
+    let mut queues = support::queues(2);
+    let mut calm = queues.queues[0].clone();
+    calm.name = "calm".into();
+    calm.prefix = "/calm/".into();
+    calm.urgency = 2;
+    queues.queues.push(calm);
+    rig.event(Event::QueuesRead(queues));
+    rig.submit(1, ID, vec![step(1, 16_000, 100)], 3_000);
+    let (call, _, first) = rig.starts().remove(0);
+    rig.target_reply(
+        call,
+        TargetReply::Done {
+            clock: rig.now + 500_000,
+        },
+    );
+    // Both wait; the calm one has less time to spare.
+    rig.submit_to(
+        "/calm/",
+        2,
+        "00000000000000aa",
+        vec![step(1, 16_000, 60)],
+        3_000,
+    );
+    rig.submit(3, "00000000000000bb", vec![step(1, 16_000, 200)], 3_000);
+    rig.pass(10);
+    let (hold, _) = rig.holds().remove(0);
+    rig.listing(hold, &[], &[support::ended(1, &first, ListedHow::Done)]);
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1);
+    assert!(
+        starts[0].2.task.starts_with("00000000000000bb"),
+        "{starts:?}"
+    );
+});
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -177,9 +177,21 @@
     }
 
     pub fn submit(&mut self, token: u64, id: &str, steps: Vec<StepSpec>, deadline_ms: Millis) {
+        self.submit_to("/turns/", token, id, steps, deadline_ms);
+    }
+
+    /// Submits a job to the queue with a prefix.
+    pub fn submit_to(
+        &mut self,
+        prefix: &str,
+        token: u64,
+        id: &str,
+        steps: Vec<StepSpec>,
+        deadline_ms: Millis,
+    ) {
         let submit = Submit {
             host: "game.example".into(),
-            path: format!("/turns/{id}").into(),
+            path: format!("{prefix}{id}").into(),
             deadline_ms: Some(deadline_ms),
             spec: JobSpec {
                 specification: "work".into(),
