--- /dev/null
+++ b/crates/dispatch-lab/src/world/building.rs
@@ -0,0 +1,96 @@
+//! New hosts and targets, and what the store tells of them.
+
+use super::*;
+
+impl World {
+    pub(super) fn hall_of_host(&self, host: usize) -> usize {
+        host / self.scenario.hosts
+    }
+
+    pub(super) fn hall_of_target(&self, target: usize) -> usize {
+        target / self.scenario.targets
+    }
+
+    pub(super) fn new_target(&mut self, index: usize) -> Target {
+        self.lives += 1;
+        let hall = self.hall_of_target(index);
+        let cores = if index % 3 == 0 { 24 } else { 16 };
+        let entry = TargetEntry {
+            id: format!("t{index}-{}", self.lives).into(),
+            address: format!("{index}").into(),
+            hall: format!("hall-{hall}").into(),
+            pool: "pool".into(),
+            capacity: Room {
+                cpu: cores * 1_000,
+                memory_mb: 32_768,
+                gpus: 0,
+            },
+            labels: vec!["a".into()],
+            leaving: false,
+        };
+        let rate = self.rng.random_range(0.98..=1.0);
+        let longest = self.scenario.bounds.max_hold_ms;
+        Target::new(entry, self.scenario.guards, rate, longest)
+    }
+
+    pub(super) fn new_host(&mut self, index: usize) -> Host {
+        self.lives += 1;
+        let hall = self.hall_of_host(index);
+        let skew = self.rng.random_range(0..100);
+        let base = self.now;
+        let info = HostInfo {
+            name: format!("host-{index}").into(),
+            address: format!("127.0.0.1:{}", 1_000 + index)
+                .parse()
+                .expect("an address"),
+            hall: format!("hall-{hall}").into(),
+            incarnation: EPOCH_MS + self.now,
+            power: if index % 3 == 0 { 500 } else { 120 },
+        };
+        let settings = Settings {
+            name: info.name.clone(),
+            address: info.address,
+            hall: info.hall.clone(),
+            incarnation: info.incarnation,
+            power: info.power,
+            seeds: vec!["127.0.0.1:1000".parse().expect("an address")],
+            bounds: self.scenario.bounds,
+            epoch_ms: EPOCH_MS + base + skew,
+            safeguards: self.scenario.safeguards,
+        };
+        Host {
+            info,
+            dispatcher: Dispatcher::new(settings).expect("the bounds leave room"),
+            base,
+            life: self.lives,
+            up: true,
+            frozen: false,
+            woke: 0,
+            tick_at: 0,
+            queue: Vec::new(),
+            callers: HashMap::new(),
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Tells a new host what the store holds.
+    pub(super) fn welcome(&mut self, host: usize) {
+        let life = self.hosts[host].life;
+        self.at(self.now + 1, Happening::Tick { host, life });
+        if self.store_out == 0 {
+            let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
+            for event in [
+                Event::QueuesRead(queues()),
+                Event::TargetsRead(self.list()),
+                Event::HostsRead(hosts),
+            ] {
+                self.tell(host, 10, event);
+            }
+        }
+    }
+
+    pub(super) fn list(&self) -> Vec<TargetEntry> {
+        let listed = self.targets.iter().filter(|target| target.up);
+        listed.map(|target| target.entry.clone()).collect()
+    }
+}
--- a/crates/dispatch/src/dispatcher/calls.rs
+++ b/crates/dispatch/src/dispatcher/calls.rs
@@ -48,7 +48,7 @@
         let keys: Vec<RunKey> = orders.iter().map(|order| order.key.clone()).collect();
         let pace = self.peers.pace();
         if let (Some(first), Some(peer)) = (keys.first(), self.peers.all.get_mut(name)) {
-            peer.come_close(now, &pace);
+            peer.begin_use(now, &pace);
             self.out.push(Action::Note(Note::Asked {
                 peer: name.clone(),
                 first: first.clone(),
--- a/crates/dispatch/src/dispatcher/due.rs
+++ b/crates/dispatch/src/dispatcher/due.rs
@@ -50,7 +50,7 @@
     }
 
     pub(super) fn send_beats(&mut self, now: Millis) {
-        self.peers.set_close(now, &self.jobs.peers_with_runs());
+        self.peers.set_used(now, &self.jobs.peers_with_runs());
         let (peers, seeds) = (self.peers.beats_due(now), self.peers.seeds_due(now));
         if peers.is_empty() && seeds.is_empty() {
             return;
--- a/crates/dispatch/src/dispatcher/placement.rs
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -50,12 +50,12 @@
             let is_asked = |name: &Name| batches.contains_key(name);
             let peer = there.then(|| self.peers.with_room(now, &order, is_asked));
             match peer.flatten() {
-                Some(peer) if peer.warm => {
+                Some(peer) if peer.fresh => {
                     self.jobs.asked(now, &task.job, task.index, &peer.name);
                     batches.entry(peer.name).or_default().push(order);
                 }
                 Some(peer) => {
-                    self.warm(now, &peer.name);
+                    self.ask_clock(now, &peer.name);
                     left.push(task);
                 }
                 None => left.push(task),
@@ -69,14 +69,14 @@
     }
 
     /// Asks a peer for its clock, so that tasks can be handed to it.
-    fn warm(&mut self, now: Millis, name: &Name) {
+    fn ask_clock(&mut self, now: Millis, name: &Name) {
         let Some(peer) = self.peers.all.get_mut(name) else {
             return;
         };
-        if peer.warming.is_some_and(|at| at + RETRY_MS > now) {
+        if peer.clock_asked.is_some_and(|at| at + RETRY_MS > now) {
             return;
         }
-        peer.warming = Some(now);
+        peer.clock_asked = Some(now);
         let beat = Request::Beat(self.beat());
         self.call_peer(now, name, beat, Purpose::Beat);
     }
--- a/crates/dispatch/src/dispatcher/requests.rs
+++ b/crates/dispatch/src/dispatcher/requests.rs
@@ -99,11 +99,10 @@
         if let Some(peer) = self.peers.all.get_mut(name) {
             peer.leaving = beat.leaving;
             peer.version = beat.version;
-            peer.next_beat = peer.next_beat.min(if peer.acked.is_none() {
-                now
-            } else {
-                peer.next_beat
-            });
+            // One that never answered may have just started.
+            if peer.acked.is_none() {
+                peer.next_beat = peer.next_beat.min(now);
+            }
         }
         ReplyBody::Beat(BeatReply {
             leaving: self.stopping.is_some(),
--- a/crates/dispatch/src/dispatcher/rights.rs
+++ b/crates/dispatch/src/dispatcher/rights.rs
@@ -48,7 +48,7 @@
         peer.stops.clear();
         peer.stopping = None;
         peer.free.clear();
-        peer.close_since = None;
+        peer.used_since = None;
         let runs = self.jobs.peer_lost(name, over);
         if runs > 0 {
             self.out.push(Action::Note(Note::SessionLost {
--- a/crates/dispatch/src/peers/mod.rs
+++ b/crates/dispatch/src/peers/mod.rs
@@ -33,7 +33,7 @@
     pub name: Name,
     /// Whether a task may be handed to it now; else its clock is to be heard
     /// first.
-    pub warm: bool,
+    pub fresh: bool,
 }
 
 /// All other hosts.
@@ -226,7 +226,7 @@
         let rank = |peer: &Peer| {
             let far = peer.info.hall != self.own.hall;
             let asked = is_asked(&peer.info.name);
-            (far, !asked, !peer.is_warm(now, &pace))
+            (far, !asked, !peer.has_fresh_echo(now, &pace))
         };
         let open = self.all.values();
         let open = open.filter(|peer| peer.takes_tasks(now, &pace) && peer.has_room(order));
@@ -237,7 +237,7 @@
         let picked = freer_of_two(&best, &order.key.task);
         let candidate = Candidate {
             name: picked.info.name.clone(),
-            warm: picked.is_warm(now, &pace),
+            fresh: picked.has_fresh_echo(now, &pace),
         };
         if let Some(peer) = self.all.get_mut(&candidate.name) {
             peer.reserve(order);
@@ -251,7 +251,7 @@
         let due = self.all.values_mut().filter(|peer| peer.next_beat <= now);
         due.map(|peer| {
             let alive = peer.is_alive(now, &pace);
-            let pause = match (alive, peer.close_since) {
+            let pause = match (alive, peer.used_since) {
                 (true, Some(_)) => pace.beat,
                 (true, None) => pace.idle,
                 (false, _) => SILENT_BEAT_MS.max(pace.idle),
@@ -264,12 +264,12 @@
     }
 
     /// Takes note of the peers at which runs of this host may be.
-    pub fn set_close(&mut self, now: Millis, close: &HashSet<Name>) {
+    pub fn set_used(&mut self, now: Millis, used: &HashSet<Name>) {
         for (name, peer) in &mut self.all {
-            if !close.contains(name) {
-                peer.close_since = None;
-            } else if peer.close_since.is_none() {
-                peer.come_close(now, &self.pace);
+            if !used.contains(name) {
+                peer.used_since = None;
+            } else if peer.used_since.is_none() {
+                peer.begin_use(now, &self.pace);
             }
         }
     }
--- a/crates/dispatch/src/peers/peer.rs
+++ b/crates/dispatch/src/peers/peer.rs
@@ -25,7 +25,7 @@
     /// When it last acknowledged something.
     pub acked: Option<Millis>,
     /// Since when runs of this host may be there, if they may.
-    pub close_since: Option<Millis>,
+    pub used_since: Option<Millis>,
     /// When it was last heard, or first heard of.
     pub heard: Millis,
     /// Whether nothing listened there at the last try.
@@ -57,7 +57,7 @@
     /// When the last one was sent.
     pub last_beat: Millis,
     /// When one was last sent to hear its clock, for tasks that wait for it.
-    pub warming: Option<Millis>,
+    pub clock_asked: Option<Millis>,
     /// The tasks that it wants room for, and until when that holds.
     pub want: Option<(Want, Millis, Millis)>,
     /// Ends to tell it.
@@ -79,7 +79,7 @@
             echo: None,
             echoed: 0,
             acked: None,
-            close_since: None,
+            used_since: None,
             heard: now,
             refused: false,
             lived: false,
@@ -95,7 +95,7 @@
             beat: None,
             next_beat: now,
             last_beat: 0,
-            warming: None,
+            clock_asked: None,
             want: None,
             ends: Vec::new(),
             telling: None,
@@ -113,14 +113,14 @@
             return false;
         };
         let fresh = acked + pace.vouch > now;
-        let close = self.close_since.is_some_and(|at| at + pace.vouch <= now);
-        fresh || (!close && acked + pace.alive > now)
+        let used = self.used_since.is_some_and(|at| at + pace.vouch <= now);
+        fresh || (!used && acked + pace.alive > now)
     }
 
     /// Tells whether its clock was heard so lately that a task handed to it now
     /// is vouched for until the next heartbeats arrive there.
     #[must_use]
-    pub fn is_warm(&self, now: Millis, pace: &Pace) -> bool {
+    pub fn has_fresh_echo(&self, now: Millis, pace: &Pace) -> bool {
         self.echo.is_some() && self.echoed + pace.vouch / 2 > now
     }
 
@@ -151,8 +151,8 @@
     }
 
     /// Takes note that runs of this host may be there from now on.
-    pub fn come_close(&mut self, now: Millis, pace: &Pace) {
-        self.close_since.get_or_insert(now);
+    pub fn begin_use(&mut self, now: Millis, pace: &Pace) {
+        self.used_since.get_or_insert(now);
         self.next_beat = self.next_beat.min(self.echoed + pace.beat);
     }
 
