--- a/crates/dispatch/src/peers/mod.rs
+++ b/crates/dispatch/src/peers/mod.rs
@@ -176,15 +176,12 @@
             .echo
             .is_some_and(|echo| echo.incarnation != reply.incarnation);
         peer.hear_clock(now, reply.incarnation, reply.clock);
-        let newer = reply.incarnation > peer.info.incarnation;
-        if newer {
-            peer.begin_life(reply.incarnation);
-        }
         peer.heard = now;
         peer.refused = false;
         peer.free = reply.free.clone();
         peer.free_at = now;
-        if newer {
+        if reply.incarnation > peer.info.incarnation {
+            peer.begin_life(reply.incarnation);
             self.count_anew();
         }
         another
--- a/crates/dispatch/src/peers/peer.rs
+++ b/crates/dispatch/src/peers/peer.rs
@@ -50,8 +50,6 @@
     pub vouched_until: Millis,
     /// Whether its runs here were ended since the vouch lapsed.
     pub lapsed: bool,
-    /// The heartbeat on its way.
-    pub beat: Option<CallId>,
     /// When the next heartbeat is due.
     pub next_beat: Millis,
     /// When the last one was sent.
@@ -92,7 +90,6 @@
             their_session: 0,
             vouched_until: 0,
             lapsed: true,
-            beat: None,
             next_beat: now,
             last_beat: 0,
             clock_asked: None,
