--- a/crates/dispatch-lab/src/world/mod.rs
+++ b/crates/dispatch-lab/src/world/mod.rs
@@ -247,12 +247,14 @@
                 .expect("an address"),
             hall: format!("hall-{hall}").into(),
             incarnation: EPOCH_MS + self.now,
+            power: if index % 3 == 0 { 500 } else { 120 },
         };
         let settings = Settings {
             name: info.name.clone(),
             address: info.address,
             hall: info.hall.clone(),
             incarnation: info.incarnation,
+            power: info.power,
             seeds: vec!["127.0.0.1:1000".parse().expect("an address")],
             bounds: self.scenario.bounds,
             epoch_ms: EPOCH_MS + base + skew,
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -101,6 +101,7 @@
             address: settings.address,
             hall: settings.hall.clone(),
             incarnation: settings.incarnation,
+            power: settings.power,
         };
         Ok(Self {
             keeper: Keeper::new(&settings, times),
--- a/crates/dispatch/src/dispatcher/placement.rs
+++ b/crates/dispatch/src/dispatcher/placement.rs
@@ -135,8 +135,13 @@
             return;
         };
         let told = self.want.as_ref().is_some_and(|(told, at)| {
-            let more_urgent = want.urge.rank < told.urge.rank || want.count > told.count;
-            at + WANT_PAUSE_MS > now && !more_urgent
+            let more = want.urge.rank < told.urge.rank || want.count > 2 * told.count;
+            let pause = if more {
+                WANT_PAUSE_MS / 4
+            } else {
+                WANT_PAUSE_MS
+            };
+            at + pause > now
         });
         if told {
             return;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -20,6 +20,8 @@
     pub hall: Name,
     /// Grows from life to life.
     pub incarnation: u64,
+    /// The processor time that it has, in thousandths of a core.
+    pub power: u32,
 }
 
 /// A receiver's own clock, brought back to it.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -151,6 +151,8 @@
     pub hall: Name,
     /// Unique to this life of the process.
     pub incarnation: u64,
+    /// The processor time that it has, in thousandths of a core.
+    pub power: u32,
     /// Addresses of peers that may be there.
     pub seeds: Vec<SocketAddr>,
     /// The bounds.
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -96,6 +96,7 @@
         address: "127.0.0.1:3".parse().unwrap(),
         hall: "north".into(),
         incarnation: 7,
+        power: 1_000,
     }
 }
 
@@ -107,6 +108,7 @@
             address: "127.0.0.1:2".parse().unwrap(),
             hall: "north".into(),
             incarnation: 5,
+            power: 1_000,
             seeds: Vec::new(),
             bounds: BOUNDS,
             epoch_ms: 1_760_000_000_000,
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -93,6 +93,7 @@
         address: settings.peers,
         hall: settings.hall.clone(),
         incarnation: epoch_ms,
+        power: settings.processor.power(),
         seeds: settings.seeds.clone(),
         bounds: settings.bounds.bounds(),
         epoch_ms,
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -27,6 +27,9 @@
     /// Peers that may be there.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The processor time that the process has.
+    #[serde(default)]
+    pub processor: ProcessorSettings,
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: BoundsSettings,
@@ -77,6 +80,34 @@
     }
 }
 
+/// The processor time that the process has: hosts with more of it look after
+/// more targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct ProcessorSettings {
+    /// Its share of a core.
+    pub share: f64,
+    /// How many times as fast as others that core is.
+    pub speed: f64,
+}
+
+impl Default for ProcessorSettings {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl ProcessorSettings {
+    /// Returns it in thousandths of a core.
+    #[must_use]
+    pub fn power(&self) -> u32 {
+        (self.share * self.speed * 1_000.0) as u32
+    }
+}
+
 /// What is logged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -34,6 +34,13 @@
     targets: usize,
     #[options(no_short, help = "jobs a second", default = "30", meta = "N")]
     rate: f64,
+    #[options(
+        no_short,
+        help = "the mean pause between faults in ms, 0 for none",
+        default = "1500",
+        meta = "N"
+    )]
+    fault_gap_ms: u64,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -44,6 +51,7 @@
     let outcomes = map(&seeds, |seed| {
         play(&Scenario {
             load_ms: options.load_ms,
+            fault_gap_ms: options.fault_gap_ms,
             verbose: options.verbose,
             hosts: options.hosts,
             targets: options.targets,
--- a/scripts/days/play.sh
+++ b/scripts/days/play.sh
@@ -1,18 +1,18 @@
 #!/usr/bin/env bash
 # Plays each day of its own on a site and prints what was served and broken.
-# Usage: play.sh FLEETBENCH SITE [DAY...]
+# Usage: [DAYS=pairs.sh] [SEED=N] [PLAYS=4] play.sh FLEETBENCH SITE [DAY...]
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 bench=$1 site=$2
 shift 2
 days=$(mktemp -d)
 trap 'rm -rf "$days"' EXIT
-scripts/days/make.sh "$days"
+scripts/days/"${DAYS:-make.sh}" "$days"
 [ $# -gt 0 ] || set -- $(cd "$days" && ls | sed 's/\.toml$//')
 play() {
-    "$bench" run "$site" "$days/$1.toml" --why "each kind alone: $1" > "$days/$1.out" 2>&1 || true
+    "$bench" run "$site" "$days/$1.toml" ${SEED:+--seed $SEED} --why "${DAYS:-alone}: $1" > "$days/$1.out" 2>&1 || true
     grep -E "^$1 " "$days/$1.out" | tail -1 || { echo "$1: not played"; tail -3 "$days/$1.out"; }
 }
 export -f play
-export bench site days
-printf '%s\n' "$@" | xargs -P 4 -I{} bash -c 'play {}'
+export bench site days DAYS SEED
+printf '%s\n' "$@" | xargs -P "${PLAYS:-4}" -I{} bash -c 'play {}'
