Doubt idle connections beside one that fell silent, and probe those that wait

Cause: open connections may go silent for good, without a reset, while new ones work. A call that timed out dropped its own connection; up to 32 idle ones of the same address stayed, each as silent, each cost one more whole time-out. A read of the store that waits for a change was noticed as dead only after 3 s, as long as hosts have to be in touch. Change: a call on a reused connection that timed out makes idle connections of its address unused that brought nothing since it was sent. Between hosts a call that is overdue by 100 ms does so too, so that a heartbeat gets through within an owner lease. Connections are probed by the kernel after 1 s without bytes; dead ones end after 2 s. A call that may have been done is still not sent again as if it had not.

--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -29,6 +29,11 @@
 /// How long setting up a connection to a target, a peer or the store may take.
 /// Chosen, not measured: half of what a peer's reply is awaited.
 const CONNECT: Duration = Duration::from_millis(150);
+/// Once a peer's reply is overdue by this, other calls to it open connections of their
+/// own: peers reply at once, some 2 ms later. It has to leave time for a heartbeat within
+/// an owner lease (`rules/leases.rs`): of 553 ms with the users' bounds, a heartbeat lost
+/// with its connection and the next one on another dead one take 276 ms.
+const PEER_SUSPECT: Duration = Duration::from_millis(100);
 
 /// Runs a process until it is asked to stop and has done so.
 ///
@@ -62,7 +67,10 @@
         started,
         rx,
         tx,
-        peers: Client::new(client_limits()),
+        peers: Client::new(ClientLimits {
+            suspect_after: Some(PEER_SUSPECT),
+            ..client_limits()
+        }),
         platform_client,
         metrics: Metrics::new()?,
         stopping,
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -34,6 +34,12 @@
 }
 
 impl ReadError {
+    /// Returns whether the connection ended since nothing was acknowledged in time.
+    #[must_use]
+    pub fn is_time_out(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == std::io::ErrorKind::TimedOut)
+    }
+
     /// Returns whether nothing listens at the address.
     #[must_use]
     pub fn is_refused(&self) -> bool {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,12 +1,10 @@
-//! An HTTP client with a pool of connections for each address.
+//! An HTTP client with a pool of connections for each address; see [`crate::pool`] for
+//! which of them are used again.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
@@ -23,8 +21,18 @@
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, Payload};
 use thiserror::Error;
+use tracing::debug;
 
 use crate::body::{body_length, BoundedHead, ExactBody, ReadError};
+use crate::pool::{OpenCall, Pool};
+
+/// A connection on which nothing comes is probed after this, and again after as long;
+/// it ends when neither is acknowledged. The least that the kernel takes. It guards reads
+/// that wait for a change: on a connection that fell silent they end after 2 s, before
+/// the store's answer is overdue after 3 s.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Probes that may stay without an acknowledgement.
+const KEEP_ALIVE_PROBES: u32 = 1;
 
 /// Bounds on what a client keeps and waits for.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +45,10 @@
     pub body_bytes: usize,
     /// Idle connections kept for each address.
     pub idle_per_address: usize,
+    /// Once a call has waited for its reply for this long, later calls to its address
+    /// open connections of their own instead of using idle ones that may be dead too.
+    /// None where replies may take long.
+    pub suspect_after: Option<Duration>,
 }
 
 // All chosen, not measured.
@@ -47,6 +59,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 16 * 1024 * 1024,
             idle_per_address: 32,
+            suspect_after: None,
         }
     }
 }
@@ -71,18 +84,23 @@
     pub body: Bytes,
 }
 
+/// An open connection.
 struct Connection {
     reader: FramedRead<TcpOwnedReadHalf, BoundedHead<ResponseHeadDecoder>>,
     writer: GenericEncoder<TcpOwnedWriteHalf>,
 }
 
-type Pool = Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>;
-
 /// Calls HTTP servers and keeps their connections. Clones share the pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     limits: ClientLimits,
-    pool: Pool,
+    pool: Pool<Connection>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(ClientLimits::default())
+    }
 }
 
 impl Client {
@@ -91,7 +109,7 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             limits,
-            pool: Pool::default(),
+            pool: Pool::new(limits.idle_per_address, limits.suspect_after),
         }
     }
 
@@ -140,31 +158,48 @@
         req: Request<Payload>,
         wait: Duration,
     ) -> Result<ClientReply, CallError> {
-        let mut connection = self.connection(addr).await?;
-        let exchange = exchange(&mut connection, req, self.limits);
+        let mut call = self.begin(addr).await?;
+        let exchange = exchange(&mut call.connection, req, self.limits);
         match timeout(wait, exchange).await {
-            Err(_) => Err(CallError::Unknown(ReadError::TimedOut)),
-            Ok(Err(error)) => Err(CallError::Unknown(error)),
+            Err(_) => {
+                call.open.timed_out();
+                Err(CallError::Unknown(ReadError::TimedOut))
+            }
+            Ok(Err(error)) => {
+                if error.is_time_out() {
+                    call.open.timed_out();
+                }
+                Err(CallError::Unknown(error))
+            }
             Ok(Ok(reply)) => {
-                self.keep(addr, connection);
+                call.open.replied(Instant::now(), call.connection);
                 Ok(reply)
             }
         }
     }
 
-    async fn connection(&self, addr: SocketAddr) -> Result<Connection, CallError> {
-        while let Some(mut connection) = self.take(addr) {
+    /// Takes a connection for a call, an idle one if one is left that is trusted.
+    async fn begin(&self, addr: SocketAddr) -> Result<Call, CallError> {
+        let now = Instant::now();
+        while let Some(mut connection) = self.pool.take(addr, now) {
             if is_alive(&mut connection).await {
-                return Ok(connection);
+                let open = self.pool.begin(addr, now, true);
+                return Ok(Call { connection, open });
             }
         }
+        let connection = self.connect(addr).await?;
+        let open = self.pool.begin(addr, now, false);
+        Ok(Call { connection, open })
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, CallError> {
         let connecting = TcpStream::connect_addr(addr);
         let stream = match timeout(self.limits.connect, connecting).await {
             Err(_) => return Err(CallError::NotSent(ReadError::TimedOut)),
             Ok(Err(error)) => return Err(CallError::NotSent(error.into())),
             Ok(Ok(stream)) => stream,
         };
-        let _ = stream.set_nodelay(true);
+        set_options(&stream, addr);
         let (r, w) = stream.into_split();
         let head = BoundedHead::new(ResponseHeadDecoder, self.limits.head_bytes);
         Ok(Connection {
@@ -172,17 +207,22 @@
             writer: GenericEncoder::new(w),
         })
     }
+}
 
-    fn take(&self, addr: SocketAddr) -> Option<Connection> {
-        self.pool.borrow_mut().get_mut(&addr)?.pop()
-    }
+/// A call whose request is being sent.
+struct Call {
+    connection: Connection,
+    open: OpenCall<Connection>,
+}
 
-    fn keep(&self, addr: SocketAddr, connection: Connection) {
-        let mut pool = self.pool.borrow_mut();
-        let idle = pool.entry(addr).or_default();
-        if idle.len() < self.limits.idle_per_address {
-            idle.push(connection);
-        }
+/// Sets a connection's options. Without them it still works, only slower.
+fn set_options(stream: &TcpStream, addr: SocketAddr) {
+    let (idle, probes) = (Some(KEEP_ALIVE), Some(KEEP_ALIVE_PROBES));
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| stream.set_tcp_keepalive(idle, idle, probes));
+    if let Err(error) = set {
+        debug!(%addr, %error, "connection without its options");
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod client;
 pub mod message;
+mod pool;
 pub mod runtime;
 pub mod server;
 
