Let attempts on a silent target be over with its lease

Cause: renewals of a silent target were retried every 100 ms and each extended the lease, since it might have arrived. Change: a renewal of a silent target asks for news without extending the lease. Test, failing before: the task starts again elsewhere 700 ms after its target fell silent; before, not within 3,000 ms. Three more tests hold what is done about targets that leave without a word, whose entries lapse, and that serve on long after they said so.

--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -45,10 +45,7 @@
 
     fn send_renewal(&mut self, now: Millis, id: &Name) {
         let target = self.targets.get_mut(id).expect("the target was found");
-        // What a new holder finds is nobody's: its lease isn't renewed. Nor are
-        // this host's own attempts as long as it doesn't know what others run
-        // beside them.
-        let until = if target.lease.is_held() && !target.is_idle() {
+        let until = if renews_lease(target) {
             target.extend_lease(now, &self.times)
         } else {
             None
@@ -66,6 +63,18 @@
     }
 }
 
+/// Returns whether a renewal is to extend the lease on what runs at a target, or only
+/// to ask for news.
+///
+/// What a new holder finds is nobody's: its lease isn't extended. Nor are this host's
+/// own attempts as long as it doesn't know what others run beside them. Of a silent
+/// target each renewal may have arrived, so that one that extends the lease puts off
+/// the time at which its attempts are over for certain.
+fn renews_lease(target: &Target) -> bool {
+    let answers = target.health.silent_since().is_none();
+    target.lease.is_held() && !target.is_idle() && answers
+}
+
 /// Returns how long a target may wait for an end before it answers, in ms.
 fn long_poll_ms(target: &Target, longest: Millis) -> Millis {
     let silent = target.health.silent_since().is_some();
--- a/crates/dispatcher-core/tests/target_leases.rs
+++ b/crates/dispatcher-core/tests/target_leases.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gannetridge_dispatcher_core::event::{ListedOutcome, SendFailure, TargetChange};
-use gannetridge_dispatcher_core::{Event, TargetReply};
+use gannetridge_dispatcher_core::{Event, TargetCall, TargetReply};
 use support::{case, ended, step, target, Rig};
 
 const ID: &str = "5c0e7a21d94b36f8";
@@ -184,3 +184,93 @@
     rig.submit(3, "00000000000000cc", vec![step(1, 7_000, 300)], 3_000);
     assert!(rig.starts().is_empty(), "two on end are silence");
 });
+
+case!(attempts_on_a_silent_target_are_over_with_its_lease, {
+    let mut rig = Rig::holding_targets(&[target("one", 16), target("two", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, 600)], 4_000);
+    let (call, silent, _) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    let fell_silent = rig.now;
+    let mut restarted = None;
+    while restarted.is_none() && rig.now < fell_silent + 3_000 {
+        rig.pass(50);
+        for called in std::mem::take(&mut rig.calls) {
+            match called.order {
+                TargetCall::Start(_) => restarted = Some(called.target),
+                _ if called.target != silent => rig.listing(called.call, &[], &[]),
+                _ => rig.event(Event::TargetReply {
+                    call: called.call,
+                    reply: Err(SendFailure::Unknown),
+                }),
+            }
+        }
+    }
+    assert_eq!(restarted.as_deref(), Some("two"));
+    // Before renewals of silent targets stopped extending the lease: not within 3,000 ms.
+    let waited = rig.now - fell_silent;
+    assert_eq!(waited, 700, "two misses, then what was left of the lease");
+});
+
+/// Submits a job of one short task; returns how many starts it led to.
+fn starts_of(rig: &mut Rig, number: u64) -> usize {
+    rig.submit(
+        number,
+        &format!("{number:016x}"),
+        vec![step(1, 2_000, 60)],
+        3_000,
+    );
+    rig.starts().len()
+}
+
+case!(
+    a_target_that_never_says_it_leaves_gets_no_work_without_its_entry,
+    {
+        let mut rig = Rig::holding_targets(&[target("near", 16)]);
+        // It serves on, and answers, though its entry went without a word.
+        rig.event(Event::TargetsChanged(vec![TargetChange::Gone(
+            "near".into(),
+        )]));
+        assert_eq!(starts_of(&mut rig, 1), 0);
+        let back = TargetChange::There(target("near", 16));
+        rig.event(Event::TargetsChanged(vec![back]));
+        rig.pass(600);
+        for (call, _) in rig.renewals() {
+            rig.listing(call, &[], &[]);
+        }
+        assert_eq!(rig.starts().len(), 1, "its entry is back");
+    }
+);
+
+case!(
+    an_entry_that_is_back_two_seconds_after_the_store_stays_in_use,
+    {
+        let mut rig = Rig::holding_targets(&[target("near", 16)]);
+        rig.event(Event::StoreReachable(false));
+        rig.pass(1_000);
+        rig.event(Event::StoreReachable(true));
+        rig.event(Event::TargetsRead(Vec::new()));
+        rig.pass(1_900);
+        let back = TargetChange::There(target("near", 16));
+        rig.event(Event::TargetsChanged(vec![back]));
+        rig.pass(500);
+        assert_eq!(starts_of(&mut rig, 1), 1);
+    }
+);
+
+case!(
+    a_target_that_serves_on_long_after_it_said_it_leaves_gets_no_work,
+    {
+        let mut rig = Rig::holding_targets(&[target("near", 16)]);
+        let mut leaving = target("near", 16);
+        leaving.leaving = true;
+        rig.event(Event::TargetsChanged(vec![TargetChange::There(leaving)]));
+        for number in 1..=10 {
+            rig.pass(1_000);
+            for (call, _) in rig.renewals() {
+                rig.listing(call, &[], &[]);
+            }
+            assert_eq!(starts_of(&mut rig, number), 0);
+        }
+    }
+);
