--- a/crates/lab/src/cmd/mod.rs
+++ b/crates/lab/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one file each.
 
+pub mod account;
 pub mod chaos;
 pub mod dispatch;
 pub mod mutants;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
-//! `gannetridge-lab`: the command line of both simulators, for runs by hand.
+//! `gannetridge-lab`: the command line of both simulators, for runs by hand, and the
+//! account of what hosts' logs tell.
 
+mod account;
 mod cmd;
 
 use std::process::ExitCode;
@@ -19,6 +21,9 @@
 /// A subcommand.
 #[derive(Debug, Options)]
 enum Command {
+    /// What became of jobs, from hosts' logs.
+    #[options(help = "what became of jobs, from the logs of their hosts")]
+    Account(cmd::account::Account),
     /// Randomised runs with every fault.
     #[options(help = "randomised runs with every fault")]
     Chaos(cmd::chaos::Chaos),
@@ -40,6 +45,7 @@
             }
             Ok(())
         }
+        Some(Command::Account(options)) => cmd::account::run(&options),
         Some(Command::Chaos(options)) => cmd::chaos::run(&options),
         Some(Command::Dispatch(options)) => cmd::dispatch::run(&options),
         Some(Command::Mutants(options)) => cmd::mutants::run(&options),
