--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -113,7 +113,7 @@
         self.deliver_reports(now);
         self.send_outboxes(now);
         self.targets.send_renewals(now);
-        let busy = !self.jobs.is_empty() || self.targets.attempts() > 0;
+        let busy = !self.jobs.is_empty() || self.targets.has_attempts();
         if busy {
             self.timers.next_tick = self.timers.next_tick.min(now + TICK_MS);
         }
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -161,6 +161,12 @@
         targets.map(|target| target.attempts.len()).sum()
     }
 
+    /// Returns whether any attempt runs on a target, or has an end that no one took yet.
+    #[must_use]
+    pub fn has_attempts(&self) -> bool {
+        !self.tasks.is_empty()
+    }
+
     /// Returns the targets whose leases this host holds or acquires.
     #[must_use]
     pub fn leased(&self) -> Vec<Name> {
