--- a/crates/entry-core/src/host/accept.rs
+++ b/crates/entry-core/src/host/accept.rs
@@ -24,9 +24,11 @@
 use crate::retry::spread_ms;
 
 /// Part of the slots that a job of an account over its quota is judged by.
-/// Since commit 1743131; not measured alone.
+/// Chosen, not measured alone.
 const OVER_QUOTA_PART: f64 = 0.4;
-/// A job is due after this many times what it needs alone. Measured in commit f42bc6b.
+/// A job is due after this many times what it needs alone. With 4 and other settings p99
+/// of jobs that fit was 1.245 times their ideal at 80 % load, with 8 it is 1.206
+/// (simulator, seed 1).
 const PATIENCE: u64 = 8;
 
 /// What a submission that is in order asks for.
--- a/crates/entry-core/src/host/borrow.rs
+++ b/crates/entry-core/src/host/borrow.rs
@@ -15,13 +15,16 @@
 use crate::loans::LoanKey;
 use crate::settings::Placement;
 
-/// Shortest pause after a peer had nothing to lend, in ms. Measured in commit 36ff713.
+/// Shortest pause after a peer had nothing to lend, in ms. With pauses of 20 to
+/// 640, 100 to 1,600 and 300 to 4,800 ms p99 at 80 % load was 9.4, 4.1 and 7.2 times the ideal
+/// (simulator, seed 1).
 const FIRST_PAUSE_MS: u64 = 100;
-/// Longest pause after a peer had nothing to lend, in ms. Measured in commit 36ff713.
+/// Longest pause after a peer had nothing to lend, in ms. See [`FIRST_PAUSE_MS`].
 const LAST_PAUSE_MS: u64 = 1_600;
 /// Returned slots are reported after this time, in ms. Chosen, not measured.
 const RETURN_MS: u64 = 5;
-/// How long a question may wait at a peer, in ms. Measured in commit f42bc6b.
+/// How long a question may wait at a peer, in ms. With 200 and other settings 32 messages
+/// were wasted per 1,000 tasks at 80 % load, now 5 (simulator, seed 1).
 const QUESTION_MS: u64 = 1000;
 /// How long the reply is awaited beyond that, in ms. Chosen, not measured.
 const REPLY_MS: u64 = 500;
--- a/crates/entry-core/src/queue.rs
+++ b/crates/entry-core/src/queue.rs
@@ -9,13 +9,16 @@
 use crate::keys::{AccountIndex, JobKey};
 
 /// Part of a host's slots that an account just over its quota leaves free.
-/// Commit f42bc6b: twice as steep was worse.
+/// Twice as steep a neighbour's p99 was 1.6 to 1.9 times its ideal instead of 1.5
+/// (simulator, seeds 1 and 2).
 const LEAST_RESERVE: f64 = 0.1;
 /// Part that it leaves free in addition for each time its quota beyond.
-/// Commit f42bc6b: twice as steep was worse.
+/// Twice as steep a neighbour's p99 was 1.6 to 1.9 times its ideal instead of 1.5
+/// (simulator, seeds 1 and 2).
 const RESERVE_SLOPE: f64 = 0.25;
 /// Most that an account over its quota leaves free.
-/// Commit f42bc6b: twice as steep was worse.
+/// Twice as steep a neighbour's p99 was 1.6 to 1.9 times its ideal instead of 1.5
+/// (simulator, seeds 1 and 2).
 const MOST_RESERVE: f64 = 0.6;
 
 /// What an account may use, in slots.
