Reckon the account's bound from what well targets held in the busiest window

Cause: by the most tasks that a target ever held at once the bound was never met, since short tasks of any size count there.

--- a/crates/lab/src/account/capacity.rs
+++ b/crates/lab/src/account/capacity.rs
@@ -1,14 +1,14 @@
 //! What no host could have served: the work that was asked for, against what the well
 //! targets can hold.
 //!
-//! A target holds as many tasks at a time as it was ever seen to hold. It is well in a
-//! window in which a task of it was done in ordinary time, or none was to be done. The
-//! bound is generous: it packs tasks of any size together, and moves work freely within
-//! a window.
+//! A target that is well holds as many tasks at a time as the well ones held in the mean
+//! of the busiest window. It is well in a window in which a task ran there in ordinary
+//! time, or there wasn't work for all. Work moves freely within a window.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::jobs::Job;
+use super::jobs::{Attempt, Job};
+use super::outcome::SLOW_FACTOR;
 
 /// Of this much load, as a part of what targets hold, each of them has work in a window.
 /// Below, targets without work count as well. Chosen, not measured.
@@ -38,8 +38,13 @@
 /// Reckons the windows of `window_ms` in which jobs came.
 #[must_use]
 pub fn windows(jobs: &[Job], window_ms: i64) -> BTreeMap<i64, Window> {
-    let slots = most_at_once(jobs);
-    let all: usize = slots.values().sum();
+    let done = done(jobs, window_ms);
+    let targets = done.values().flat_map(|window| &window.targets);
+    let all = targets.collect::<BTreeSet<_>>().len();
+    let well_enough = done.values().filter(|done| 2 * done.targets.len() > all);
+    let held_by_each = well_enough.map(|done| done.held_by_each(window_ms));
+    let held_by_each = held_by_each.fold(0.0, f64::max);
+    let held_ms = |targets: usize| targets as f64 * held_by_each * window_ms as f64;
     let mut windows: BTreeMap<i64, Window> = BTreeMap::new();
     for job in jobs {
         let window = windows
@@ -47,17 +52,10 @@
             .or_default();
         window.asked_ms += work_ms(job);
     }
-    let well = well_targets(jobs, window_ms);
     for (at, window) in &mut windows {
-        let whole = (all as i64 * window_ms) as f64;
-        let busy = window.asked_ms > ALL_BUSY * whole;
-        window.held_ms = match well.get(at) {
-            Some(targets) if busy => {
-                let held: usize = targets.iter().map(|target| slots[target]).sum();
-                (held as i64 * window_ms) as f64
-            }
-            _ => whole,
-        };
+        let busy = window.asked_ms > ALL_BUSY * held_ms(all);
+        let well = done.get(at).map_or(0, |done| done.targets.len());
+        window.held_ms = held_ms(if busy { well } else { all });
     }
     windows
 }
@@ -80,38 +78,46 @@
     each * job.tasks as f64
 }
 
-/// Returns how many tasks each target was seen to hold at most.
-fn most_at_once(jobs: &[Job]) -> HashMap<&str, usize> {
-    let mut changes: HashMap<&str, Vec<(i64, i64)>> = HashMap::new();
-    for attempt in jobs.iter().flat_map(|job| &job.attempts) {
-        let Some(end) = attempt.end.as_ref().filter(|end| end.done) else {
-            continue;
-        };
-        let of_target = changes.entry(&attempt.target).or_default();
-        of_target.push((attempt.started + end.took_ms, -1));
-        of_target.push((attempt.started, 1));
+/// What targets did in one window.
+#[derive(Debug, Default)]
+struct Done<'a> {
+    /// How long tasks ran in it that took ordinary time, in ms.
+    ran_ms: i64,
+    /// Where.
+    targets: BTreeSet<&'a str>,
+}
+
+impl Done<'_> {
+    /// Returns how many tasks each of its targets held in the mean.
+    fn held_by_each(&self, window_ms: i64) -> f64 {
+        let targets = self.targets.len().max(1) as i64;
+        self.ran_ms as f64 / (targets * window_ms) as f64
     }
-    let most = changes.into_iter().map(|(target, mut changes)| {
-        // Ends go before starts of the same moment.
-        changes.sort_unstable();
-        let mut now = 0;
-        let counts = changes.into_iter().map(|(_, change)| {
-            now += change;
-            now
-        });
-        (target, counts.max().unwrap_or(0).max(0) as usize)
-    });
-    most.collect()
 }
 
-/// Returns the targets that did a task in each window.
-fn well_targets(jobs: &[Job], window_ms: i64) -> HashMap<i64, BTreeSet<&str>> {
-    let mut well: HashMap<i64, BTreeSet<&str>> = HashMap::new();
-    for attempt in jobs.iter().flat_map(|job| &job.attempts) {
-        if let Some(end) = attempt.end.as_ref().filter(|end| end.done) {
-            let at = (attempt.started + end.took_ms).div_euclid(window_ms);
-            well.entry(at).or_default().insert(&attempt.target);
+/// Returns what targets did in each window.
+fn done(jobs: &[Job], window_ms: i64) -> BTreeMap<i64, Done<'_>> {
+    let mut windows: BTreeMap<i64, Done<'_>> = BTreeMap::new();
+    for job in jobs {
+        for attempt in &job.attempts {
+            let Some(took_ms) = ordinary_ms(job, attempt) else {
+                continue;
+            };
+            let end = attempt.started + took_ms;
+            for at in attempt.started.div_euclid(window_ms)..=end.div_euclid(window_ms) {
+                let window = windows.entry(at).or_default();
+                let (from, until) = (at * window_ms, (at + 1) * window_ms);
+                window.ran_ms += end.min(until) - attempt.started.max(from);
+                window.targets.insert(&attempt.target);
+            }
         }
     }
-    well
+    windows
+}
+
+/// Returns how long an attempt took, if it is done and took ordinary time.
+fn ordinary_ms(job: &Job, attempt: &Attempt) -> Option<i64> {
+    let end = attempt.end.as_ref().filter(|end| end.done)?;
+    let ordinary = end.took_ms as f64 <= SLOW_FACTOR * job.chain_ms;
+    ordinary.then_some(end.took_ms)
 }
--- a/crates/lab/src/account/outcome.rs
+++ b/crates/lab/src/account/outcome.rs
@@ -7,7 +7,7 @@
 
 /// An attempt that takes more than this many times its estimate ran on a slow target: of
 /// 6,800 attempts on well targets 0.5 % did (two played days).
-const SLOW_FACTOR: f64 = 3.0;
+pub const SLOW_FACTOR: f64 = 3.0;
 /// A job whose first start waited for more than this part of the time that it had to spare
 /// is late for that. Chosen, not measured.
 const WAITED_SHARE: f64 = 0.5;
