--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,5 +1,5 @@
-//! An HTTP client with a pool of connections for each address; see [`crate::pool`] for
-//! which of them are used again.
+//! An HTTP client with a pool of connections for each address: `pool.rs` tells which of
+//! them are used again.
 
 use std::future::Future;
 use std::net::SocketAddr;
