--- /dev/null
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -0,0 +1,146 @@
+//! What a host decided or came to believe, for its log and its metrics.
+
+mod texts;
+
+use gannetridge_wire::Name;
+
+use crate::message::{AttemptId, AttemptOutcome};
+use crate::Millis;
+
+pub use texts::{
+    BeliefSource, ConfigurationSource, EndCause, EndEvidence, PeerState, Rejection, StopReason,
+    TargetBelief,
+};
+
+/// A decision, or a change of what the host believes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A job was accepted.
+    JobAccepted {
+        /// The job.
+        job: Name,
+        /// Its queue.
+        queue: Name,
+        /// How many tasks it has.
+        tasks: usize,
+        /// Its latency objective, in ms from now.
+        objective_ms: Millis,
+        /// The estimate of its longest chain of tasks, in ms.
+        chain_ms: Millis,
+        /// How many times that chain the objective holds; see `Queue::extension`.
+        extension: f64,
+        /// How long its caller waits, in ms from now.
+        deadline_ms: Millis,
+        /// The version of the configuration that it was accepted under.
+        version: u64,
+    },
+    /// A request was rejected.
+    JobRejected {
+        /// The path that the caller named.
+        path: Name,
+        /// Why.
+        reason: Rejection,
+        /// The version of the configuration, 0 for none.
+        version: u64,
+    },
+    /// A job ended.
+    JobEnded {
+        /// The job.
+        job: Name,
+        /// Its queue.
+        queue: Name,
+        /// Why.
+        cause: EndCause,
+        /// Tasks done.
+        done: usize,
+        /// Starts asked for.
+        starts: u32,
+        /// Time since it was accepted.
+        took_ms: Millis,
+        /// Its latency objective.
+        objective_ms: Millis,
+    },
+    /// Tasks were handed to a peer.
+    TasksHandedOver {
+        /// The peer.
+        peer: Name,
+        /// The first task.
+        first: AttemptId,
+        /// How many.
+        tasks: usize,
+        /// Age of what is known of the peer's free resources.
+        age_ms: Millis,
+    },
+    /// A start was sent to a target.
+    AttemptStarted {
+        /// The attempt.
+        id: AttemptId,
+        /// The target.
+        target: Name,
+        /// The owner of the job.
+        owner: Name,
+        /// Thousandths of a core that stay free there.
+        left_cpu: u32,
+    },
+    /// An attempt has ended.
+    AttemptEnded {
+        /// The attempt.
+        id: AttemptId,
+        /// The target.
+        target: Name,
+        /// How.
+        outcome: AttemptOutcome,
+        /// What showed it.
+        by: EndEvidence,
+        /// Time since its start was sent.
+        took_ms: Millis,
+    },
+    /// An attempt is being stopped.
+    AttemptStopping {
+        /// The attempt.
+        id: AttemptId,
+        /// The target.
+        target: Name,
+        /// Why.
+        reason: StopReason,
+    },
+    /// What the host believes of a target changed.
+    Target {
+        /// The target.
+        target: Name,
+        /// The new belief.
+        state: TargetBelief,
+        /// What showed it.
+        by: BeliefSource,
+    },
+    /// What the host believes of a peer changed.
+    Peer {
+        /// The peer.
+        peer: Name,
+        /// The new belief.
+        state: PeerState,
+        /// Time since it was last heard.
+        silent_ms: Millis,
+    },
+    /// The session with a peer was lost: attempts there are given up.
+    SessionLost {
+        /// The peer.
+        peer: Name,
+        /// How many attempts.
+        attempts: usize,
+        /// Time until they are over for certain.
+        over_in_ms: Millis,
+    },
+    /// A configuration is in force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// Where it came from.
+        from: ConfigurationSource,
+    },
+    /// The platform's store was lost or is back.
+    Store {
+        /// Whether it answers.
+        reachable: bool,
+    },
+}
--- a/crates/dispatcher-core/src/dispatcher/caller_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/caller_requests.rs
@@ -8,6 +8,7 @@
 use crate::action::{Action, Answer};
 use crate::decision::{Decision, Rejection};
 use crate::event::{RequestId, Submit};
+use crate::jobs::Checked;
 use crate::rules::admission::{self, Addressed, Rejected};
 use crate::rules::giving_up::refused_when_stopping;
 use crate::Millis;
@@ -43,9 +44,14 @@
             };
             return self.reject(request_id, &path, rejected);
         }
-        let version = self.version();
-        self.jobs
-            .submit(now, request_id, id.clone(), submit, &queue, version);
+        let checked = Checked {
+            request_id,
+            id: id.clone(),
+            submit,
+            queue: &queue,
+            version: self.version(),
+        };
+        self.jobs.submit(now, checked);
         self.refuse_if_too_large(now, &id);
     }
 
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -28,10 +28,7 @@
             return;
         }
         let body = if self.hear_request(now, &name, &envelope) {
-            let session = OwnerSession {
-                incarnation: envelope.from.incarnation,
-                number: envelope.session,
-            };
+            let session = OwnerSession::of(&envelope);
             self.carry_out(now, &name, session, envelope.request)
         } else {
             ReplyBody::Stale
@@ -61,10 +58,7 @@
         }
         if envelope.session > peer.owner_lease.session {
             peer.owner_lease.session = envelope.session;
-            let session = OwnerSession {
-                incarnation,
-                number: envelope.session,
-            };
+            let session = OwnerSession::of(envelope);
             let reason = StopReason::NewSession;
             self.targets.stop_owner(now, name, session, reason);
         }
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -10,7 +10,7 @@
 use crate::jobs::{Place, StopAttempt};
 use crate::message::{AttemptEnd, AttemptId, Heartbeat, HostInfo, Request};
 use crate::peers::StopRequest;
-use crate::targets::{EndReport, OwnerSession};
+use crate::targets::EndReport;
 use crate::Millis;
 
 use super::peer_calls::Purpose;
@@ -144,12 +144,8 @@
         let Some(peer) = self.peers.get_mut(&report.owner.host) else {
             return;
         };
-        let lease = &peer.owner_lease;
-        let session = OwnerSession {
-            incarnation: peer.info.incarnation,
-            number: lease.session,
-        };
-        let waits = session == report.owner.session && lease.is_valid();
+        let same_session = peer.owner_session() == report.owner.session;
+        let waits = same_session && peer.owner_lease.is_valid();
         if report.wanted && waits {
             peer.ends.push(report.end);
         }
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -45,6 +45,21 @@
     until: Millis,
 }
 
+/// A submitted job that was checked.
+#[derive(Debug)]
+pub struct Checked<'a> {
+    /// The caller's request.
+    pub request_id: RequestId,
+    /// The job's id.
+    pub id: Name,
+    /// What is submitted.
+    pub submit: Submit,
+    /// Its queue.
+    pub queue: &'a Queue,
+    /// The version of the configuration that it was checked against.
+    pub version: u64,
+}
+
 /// An attempt that is to be stopped.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StopAttempt {
@@ -126,42 +141,31 @@
     }
 
     /// Accepts a job that was checked; one that is known already is joined.
-    pub fn submit(
-        &mut self,
-        now: Millis,
-        request_id: RequestId,
-        id: Name,
-        submit: Submit,
-        queue: &Queue,
-        version: u64,
-    ) {
+    pub fn submit(&mut self, now: Millis, checked: Checked<'_>) {
+        let Checked { request_id, id, .. } = &checked;
+        let (request_id, id) = (*request_id, id.clone());
         if let Some(answer) = self.answers.get(&id) {
             let answer = answer.value.clone();
             self.actions.push(Action::Answer { request_id, answer });
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&id) {
+        } else if let Some(job) = self.jobs.get_mut(&id) {
             job.request_ids.push(request_id);
             self.by_request.insert(request_id, id);
-            return;
-        }
-        if self.jobs.len() >= MAX_JOBS {
+        } else if self.jobs.len() >= MAX_JOBS {
             let answer = refused_when_full();
             self.actions.push(Action::Answer { request_id, answer });
-            return;
+        } else {
+            self.accept(now, checked);
         }
-        self.accept(now, request_id, id, submit, queue, version);
     }
 
-    fn accept(
-        &mut self,
-        now: Millis,
-        request_id: RequestId,
-        id: Name,
-        submit: Submit,
-        queue: &Queue,
-        version: u64,
-    ) {
+    fn accept(&mut self, now: Millis, checked: Checked<'_>) {
+        let Checked {
+            request_id,
+            id,
+            submit,
+            queue,
+            version,
+        } = checked;
         let deadline_ms = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let chain_ms = submit.spec.chain_ms();
         let objective_ms = queue.latency_objective(chain_ms);
--- a/crates/dispatcher-core/src/peers/peer.rs
+++ b/crates/dispatcher-core/src/peers/peer.rs
@@ -12,6 +12,7 @@
 use crate::rules::heartbeat_intervals::HeartbeatIntervals;
 use crate::rules::liveness::Heard;
 use crate::rules::peer_choice::{aged, DEMAND_TTL_MS};
+use crate::targets::OwnerSession;
 use crate::Millis;
 
 use super::outbox::Outbox;
@@ -120,6 +121,15 @@
         self.leased.contains(target)
     }
 
+    /// Returns its newest session with this host.
+    #[must_use]
+    pub fn owner_session(&self) -> OwnerSession {
+        OwnerSession {
+            incarnation: self.info.incarnation,
+            number: self.owner_lease.session,
+        }
+    }
+
     /// Handles a newer incarnation, whose sessions begin anew.
     pub(super) fn begin_incarnation(&mut self, incarnation: u64) {
         self.info.incarnation = incarnation;
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -4,7 +4,7 @@
 
 use crate::decision::EndEvidence;
 use crate::event::CallId;
-use crate::message::{AttemptEnd, SpreadLimit, TaskOrder};
+use crate::message::{AttemptEnd, Envelope, SpreadLimit, TaskOrder};
 use crate::rules::target_health::RunningTime;
 use crate::spec::Resources;
 use crate::Millis;
@@ -34,6 +34,15 @@
         incarnation: u64::MAX,
         number: u64::MAX,
     };
+
+    /// Returns the session in which a peer sent a request.
+    #[must_use]
+    pub fn of(envelope: &Envelope) -> Self {
+        Self {
+            incarnation: envelope.from.incarnation,
+            number: envelope.session,
+        }
+    }
 }
 
 /// How far the stop of an attempt has got.
