--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -20,7 +20,9 @@
 //! attempt runs, whether jobs wait that can be on time, the estimates of the open tasks.
 //! **Measured.** 504 for what may have run and 503 only for what can't have raised the
 //! first score of the turn resolver's site from 0.073 to 0.695, with no rule broken.
-//! Refusing what is passed over: see docs/MEASURES.md. **Gives up.** A late answer to a
+//! Refusing what is passed over, with the rule of silent targets' leases: 0.824 to 0.833
+//! worth (standard error of the difference 0.003, 15 played days in pairs), 0.832 to 0.838
+//! with 41 hosts (0.002, 5 days). **Gives up.** A late answer to a
 //! job that would have found resources while none on time did.
 
 use crate::action::Answer;
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -162,6 +162,8 @@
     }
 
     /// Returns whether any attempt runs on a target, or has an end that no one took yet.
+    /// Asked after each event: looking at all targets instead took 18 % of the decisions'
+    /// processor time with 351 of them (simulator, seed 5 of 42 hosts).
     #[must_use]
     pub fn has_attempts(&self) -> bool {
         !self.tasks.is_empty()
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -69,7 +69,9 @@
 /// What a new holder finds is nobody's: its lease isn't extended. Nor are this host's
 /// own attempts as long as it doesn't know what others run beside them. Of a silent
 /// target each renewal may have arrived, so that one that extends the lease puts off
-/// the time at which its attempts are over for certain.
+/// the time at which its attempts are over for certain: on a played day tasks of targets
+/// that were dead for 4.9 s were taken for lost 5.2 s after the targets died; since then
+/// 0.7 s after (`tests/target_leases.rs`).
 fn renews_lease(target: &Target) -> bool {
     let answers = target.health.silent_since().is_none();
     target.lease.is_held() && !target.is_idle() && answers
