--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -4,7 +4,7 @@
 use gannetridge_dispatcher_sim::checks::Rule;
 use gannetridge_dispatcher_sim::{run, Scenario};
 
-/// Seeds that once found a broken promise; the commits tell which.
+/// Seeds that once broke a promise.
 const FOUND: [u64; 5] = [3, 11, 25, 26, 5_193];
 
 fn assert_kept(seeds: impl IntoIterator<Item = u64>) {
