--- a/scripts/days/play.sh
+++ b/scripts/days/play.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays each day of its own on a site and prints what was served and broken.
-# Usage: [DAYS=each-kind-twice.sh|before-traffic.sh] [SEED=N] [PLAYS=4] play.sh FLEETBENCH SITE [DAY...]
+# Usage: [DAYS=each-kind-twice.sh|before-traffic.sh|store-returns.sh] [SEED=N] [PLAYS=4] play.sh FLEETBENCH SITE [DAY...]
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 bench=$1 site=$2
