Give up long replies for silence, not for their length; read them at a bounded rate

Cause: one time-out held for a whole exchange, so a host of 2 Mbit/s could never read a configuration of 350 KB from the store within 1 s, began again and again, and filled its own link. The rate alone doesn't free the link: the sender's window lets most of the body in at once.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -34,10 +34,14 @@
 }
 
 impl ReadError {
-    /// Returns whether the connection ended since nothing was acknowledged in time.
+    /// Returns whether nothing came, or nothing was acknowledged, in time.
     #[must_use]
     pub fn is_time_out(&self) -> bool {
-        matches!(self, Self::Io(error) if error.kind() == std::io::ErrorKind::TimedOut)
+        match self {
+            Self::TimedOut => true,
+            Self::Io(error) => error.kind() == std::io::ErrorKind::TimedOut,
+            _ => false,
+        }
     }
 
     /// Returns whether nothing listens at the address.
@@ -91,6 +95,22 @@
     }
 }
 
+/// Takes what has come of a body, up to the bytes that are still missing of it.
+pub struct PartOfBody(pub usize);
+
+impl Decoder for PartOfBody {
+    type Item = BytesMut;
+    type Error = ReadError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, Self::Error> {
+        if src.is_empty() {
+            return Ok(Decoded::Insufficient);
+        }
+        let length = src.len().min(self.0);
+        Ok(Decoded::Some(src.split_to(length)))
+    }
+}
+
 /// Reads the length of the body from the head.
 ///
 /// # Errors
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,7 +6,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Version};
 use monoio::io::sink::SinkExt;
@@ -17,13 +17,14 @@
 use monoio::time::timeout;
 use monoio_codec::FramedRead;
 use monoio_http::common::error::HttpError;
+use monoio_http::common::response::ResponseHead;
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, Payload};
 use thiserror::Error;
 use tracing::debug;
 
-use crate::body::{body_length, BoundedHead, ExactBody, ReadError};
+use crate::body::{body_length, BoundedHead, PartOfBody, ReadError};
 use crate::pool::{OpenCall, Pool};
 
 /// A connection on which nothing comes is probed after this, and again after as long;
@@ -49,6 +50,29 @@
     /// open connections of their own instead of using idle ones that may be dead too.
     /// None where replies may take long.
     pub suspect_after: Option<Duration>,
+    /// How fast long bodies are read; as fast as they come without one.
+    pub body_rate: Option<BodyRate>,
+}
+
+/// How fast long bodies are read: what comes slower than the link could bring it leaves
+/// room on the link for short messages, since the sender waits once the receiver's window
+/// is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyRate {
+    /// Bytes a second.
+    pub bytes_per_s: u64,
+}
+
+/// The first bytes of a body, that are read as they come: most replies are shorter.
+const FREE_BYTES: usize = 32 * 1024;
+
+impl BodyRate {
+    /// Returns how long to wait after a part of a body, given what came before it.
+    fn pause_after(self, before: usize, part: usize) -> Option<Duration> {
+        let counted = (before + part).saturating_sub(before.max(FREE_BYTES));
+        let micros = counted as u64 * 1_000_000 / self.bytes_per_s.max(1);
+        (micros > 0).then(|| Duration::from_micros(micros))
+    }
 }
 
 // All chosen, not measured.
@@ -60,6 +84,7 @@
             body_bytes: 16 * 1024 * 1024,
             idle_per_address: 32,
             suspect_after: None,
+            body_rate: None,
         }
     }
 }
@@ -113,7 +138,8 @@
         }
     }
 
-    /// Sends a request and waits for the reply.
+    /// Sends a request and waits for the reply, `wait` at most for its head, and as long
+    /// for each further part of its body.
     ///
     /// # Errors
     ///
@@ -133,7 +159,8 @@
         self.exchange(addr, req, wait).await
     }
 
-    /// Sends a request with headers of its own and waits for the reply.
+    /// Sends a request with headers of its own and waits for the reply as [`Client::call`]
+    /// does.
     ///
     /// # Errors
     ///
@@ -159,19 +186,14 @@
         wait: Duration,
     ) -> Result<ClientReply, CallError> {
         let mut call = self.begin(addr).await?;
-        let exchange = exchange(&mut call.connection, req, self.limits);
-        match timeout(wait, exchange).await {
-            Err(_) => {
-                call.open.timed_out();
-                Err(CallError::Unknown(ReadError::TimedOut))
-            }
-            Ok(Err(error)) => {
+        match exchange(&mut call.connection, req, self.limits, wait).await {
+            Err(error) => {
                 if error.is_time_out() {
                     call.open.timed_out();
                 }
                 Err(CallError::Unknown(error))
             }
-            Ok(Ok(reply)) => {
+            Ok(reply) => {
                 call.open.replied(Instant::now(), call.connection);
                 Ok(reply)
             }
@@ -249,24 +271,67 @@
         .expect("callers pass valid paths")
 }
 
+/// Sends a request and reads its reply. `wait` bounds each silence: until the head has
+/// come, and from one part of the body to the next, so that a long reply on a slow link goes
+/// on as long as it makes progress.
 async fn exchange(
     connection: &mut Connection,
     req: Request<Payload>,
     limits: ClientLimits,
+    wait: Duration,
 ) -> Result<ClientReply, ReadError> {
-    let sent = connection.writer.send_and_flush(req).await;
-    sent.map_err(|_| ReadError::Ended)?;
-    let head = connection.reader.next().await.ok_or(ReadError::Ended)??;
+    let head = begin_exchange(connection, req);
+    let head = within(wait, head).await?;
     let length = body_length(&head.headers, limits.body_bytes)?;
-    let mut exact = ExactBody(length);
-    let body = if length == 0 {
-        Bytes::new()
-    } else {
-        let body = connection.reader.next_with(&mut exact).await;
-        body.ok_or(ReadError::Ended)??
-    };
+    let body = read_body(connection, length, limits.body_rate, wait).await?;
     Ok(ClientReply {
         status: head.status,
         body,
     })
 }
+
+/// Sends a request and reads the head of its reply.
+async fn begin_exchange(
+    connection: &mut Connection,
+    req: Request<Payload>,
+) -> Result<ResponseHead, ReadError> {
+    let sent = connection.writer.send_and_flush(req).await;
+    sent.map_err(|_| ReadError::Ended)?;
+    connection.reader.next().await.ok_or(ReadError::Ended)?
+}
+
+/// Reads a body part by part.
+async fn read_body(
+    connection: &mut Connection,
+    length: usize,
+    rate: Option<BodyRate>,
+    wait: Duration,
+) -> Result<Bytes, ReadError> {
+    let mut body = BytesMut::new();
+    while body.len() < length {
+        let mut missing = PartOfBody(length - body.len());
+        let part = within(wait, async {
+            let part = connection.reader.next_with(&mut missing).await;
+            part.ok_or(ReadError::Ended)?
+        });
+        let part = part.await?;
+        let pause = rate.and_then(|rate| rate.pause_after(body.len(), part.len()));
+        if body.is_empty() {
+            body = part;
+        } else {
+            body.extend_from_slice(&part);
+        }
+        if let Some(pause) = pause.filter(|_| body.len() < length) {
+            monoio::time::sleep(pause).await;
+        }
+    }
+    Ok(body.freeze())
+}
+
+/// Fails a step that takes longer than `wait`.
+async fn within<T>(
+    wait: Duration,
+    step: impl Future<Output = Result<T, ReadError>>,
+) -> Result<T, ReadError> {
+    timeout(wait, step).await.map_err(|_| ReadError::TimedOut)?
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod runtime;
 pub mod server;
 
-pub use client::{CallError, Client, ClientLimits};
+pub use client::{BodyRate, CallError, Client, ClientLimits};
 pub use message::{HttpReply, HttpRequest};
 pub use server::{bind, serve, ServerLimits};
