Look only at targets for which anything may be due, and at halls that a host serves

The assignment scored all targets against all hosts, though hosts of one hall never hold another's while that has hosts.

--- a/crates/dispatcher-core/src/rules/assignment.rs
+++ b/crates/dispatcher-core/src/rules/assignment.rs
@@ -13,6 +13,8 @@
 //! Hosts that see different hosts assign differently for a while: see
 //! [`crate::rules::contention`].
 
+use std::collections::BTreeMap;
+
 use gannetridge_wire::Name;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -21,8 +23,49 @@
 /// Picks the host for a target, or none where there are no hosts.
 #[must_use]
 pub fn holder<'a>(target: &str, hall: &str, hosts: &'a [HostInfo]) -> Option<&'a HostInfo> {
-    let near = hosts.iter().filter(|host| &*host.hall == hall);
-    best(target, near).or_else(|| best(target, hosts.iter()))
+    Candidates::new(hosts).holder(target, hall)
+}
+
+/// The hosts that may hold targets, by hall.
+#[derive(Debug)]
+pub struct Candidates<'a> {
+    halls: BTreeMap<&'a str, Vec<&'a HostInfo>>,
+    all: &'a [HostInfo],
+}
+
+impl<'a> Candidates<'a> {
+    /// Sorts hosts by their halls.
+    #[must_use]
+    pub fn new(hosts: &'a [HostInfo]) -> Self {
+        let mut halls: BTreeMap<&str, Vec<&HostInfo>> = BTreeMap::new();
+        for host in hosts {
+            halls.entry(&host.hall).or_default().push(host);
+        }
+        Self { halls, all: hosts }
+    }
+
+    /// Returns whether a host may hold targets of a hall at all: those of other halls only
+    /// where these have no hosts. Asked before any score is reckoned: of five halls' targets
+    /// four need none.
+    #[must_use]
+    pub fn may_hold(&self, host: &str, hall: &str) -> bool {
+        let near = self.halls.get(hall);
+        near.is_none_or(|near| near.iter().any(|candidate| &*candidate.name == host))
+    }
+
+    /// Returns whether a host holds a target.
+    #[must_use]
+    pub fn holds(&self, host: &str, target: &str, hall: &str) -> bool {
+        let holder = self.holder(target, hall);
+        holder.is_some_and(|holder| &*holder.name == host)
+    }
+
+    fn holder(&self, target: &str, hall: &str) -> Option<&'a HostInfo> {
+        match self.halls.get(hall) {
+            Some(near) => best(target, near.iter().copied()),
+            None => best(target, self.all.iter()),
+        }
+    }
 }
 
 fn best<'a>(target: &str, hosts: impl Iterator<Item = &'a HostInfo>) -> Option<&'a HostInfo> {
--- a/crates/dispatcher-core/src/targets/claims.rs
+++ b/crates/dispatcher-core/src/targets/claims.rs
@@ -3,13 +3,13 @@
 //! Owns the assignment as this host reckons it ([`crate::rules::assignment`]); what it
 //! does when another host took a target is decided by [`crate::rules::contention`].
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 
 use gannetridge_wire::Name;
 
 use crate::decision::{BeliefSource, EndEvidence, TargetBelief};
 use crate::message::HostInfo;
-use crate::rules::assignment;
+use crate::rules::assignment::Candidates;
 use crate::rules::contention::{self, Response};
 use crate::Millis;
 
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(super) struct Assignment {
     own_name: Name,
-    assigned: HashSet<Name>,
+    assigned: BTreeSet<Name>,
     /// The hosts among which they were shared.
     among: Vec<HostInfo>,
     /// Whether targets have come since.
@@ -32,7 +32,7 @@
     pub(super) fn new(own_name: Name) -> Self {
         Self {
             own_name,
-            assigned: HashSet::new(),
+            assigned: BTreeSet::new(),
             among: Vec::new(),
             stale: true,
             misassigned: HashMap::new(),
@@ -75,19 +75,24 @@
         self.update_assignment(hosts);
         let mut acquire = Vec::new();
         let mut give_up = Vec::new();
-        for (id, target) in &self.targets {
-            let free = target.lease.is_free();
+        for id in &self.assignment.assigned {
+            self.assignment.misassigned.remove(id);
+            let Some(target) = self.targets.get(id) else {
+                continue;
+            };
+            let may_acquire = may_acquire && target.lease.backoff_until <= now;
+            let free = target.lease.is_free() && target.is_idle();
+            if free && may_acquire && !claimed(id) {
+                acquire.push(id.clone());
+            }
+        }
+        for id in &self.leased {
             if self.assignment.assigned.contains(id) {
-                self.assignment.misassigned.remove(id);
-                let may_acquire = may_acquire && target.lease.backoff_until <= now;
-                if free && target.is_idle() && may_acquire && !claimed(id) {
-                    acquire.push(id.clone());
-                }
-            } else if !free {
-                self.assignment.misassigned.entry(id.clone()).or_insert(now);
-                if target.is_idle() {
-                    give_up.push(id.clone());
-                }
+                continue;
+            }
+            self.assignment.misassigned.entry(id.clone()).or_insert(now);
+            if self.targets[id].is_idle() {
+                give_up.push(id.clone());
             }
         }
         for id in acquire {
@@ -105,10 +110,11 @@
             return;
         }
         let own_name = &self.assignment.own_name;
+        let candidates = Candidates::new(hosts);
         let targets = self.targets.iter();
         let own = targets.filter(|(id, target)| {
-            let holder = assignment::holder(id, &target.entry.hall, hosts);
-            holder.is_some_and(|host| host.name == *own_name)
+            let hall = &target.entry.hall;
+            candidates.may_hold(own_name, hall) && candidates.holds(own_name, id, hall)
         });
         self.assignment.assigned = own.map(|(id, _)| id.clone()).collect();
         self.assignment.among = hosts.to_vec();
@@ -121,6 +127,7 @@
             target.lease.acquire(now, token);
             target.drop_reservation();
             self.leased.insert(id.clone());
+            self.active.insert(id.clone());
             self.record_target(id, TargetBelief::Acquiring, BeliefSource::Assignment);
         }
     }
@@ -182,6 +189,7 @@
             target.forget();
             target.lease.backoff_until = now + contention::BACKOFF_MS;
             target.unlisted_since.get_or_insert(now);
+            self.unlisted.insert(id.clone());
             self.leased.remove(id);
             self.reports.extend(reports);
             self.record_target(id, TargetBelief::Gone, BeliefSource::WrongIncarnation);
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -3,6 +3,8 @@
 //! An entry that goes missing while the store is out, or just back, says nothing: the
 //! target is used as long as it answers.
 
+use std::collections::HashSet;
+
 use gannetridge_wire::Name;
 
 use crate::decision::{BeliefSource, TargetBelief};
@@ -50,6 +52,27 @@
         self.store.reachable = reachable;
     }
 
+    /// Returns whether a target that isn't listed is gone.
+    #[must_use]
+    pub fn list_is_settled(&self, now: Millis) -> bool {
+        self.store.list_is_settled(now)
+    }
+
+    /// Records whether a target that isn't listed is gone, as another host told that
+    /// reads the store.
+    pub fn told_settled(&mut self, settled: bool) {
+        self.store = StoreView {
+            reachable: settled,
+            back_at: 0,
+        };
+    }
+
+    /// Returns whether the store answers.
+    #[must_use]
+    pub fn is_store_reachable(&self) -> bool {
+        self.store.reachable
+    }
+
     /// Handles changes of the list.
     pub fn list_changed(&mut self, now: Millis, changes: Vec<TargetChange>) {
         for change in changes {
@@ -62,11 +85,11 @@
 
     /// Handles the whole list.
     pub fn list_read(&mut self, now: Millis, entries: Vec<TargetEntry>) {
-        let listed: Vec<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listed: HashSet<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             self.listed(entry);
         }
-        let missing = self.targets.keys().filter(|id| !listed.contains(id));
+        let missing = self.targets.keys().filter(|id| !listed.contains(*id));
         let missing: Vec<Name> = missing.cloned().collect();
         for id in missing {
             self.unlisted(now, &id);
@@ -83,6 +106,7 @@
         let leaves = entry.leaving && !target.entry.leaving;
         target.entry = entry;
         target.unlisted_since = None;
+        self.unlisted.remove(&id);
         if leaves {
             self.record_target(&id, TargetBelief::Leaving, BeliefSource::List);
         }
@@ -92,6 +116,7 @@
         if let Some(target) = self.targets.get_mut(id) {
             if target.unlisted_since.is_none() {
                 target.unlisted_since = Some(now);
+                self.unlisted.insert(id.clone());
                 self.record_target(id, TargetBelief::NotListed, BeliefSource::List);
             }
         }
@@ -102,14 +127,16 @@
         if !self.store.list_is_settled(now) {
             return;
         }
-        let gone = self.targets.iter().filter(|(_, target)| {
-            let unlisted = target.unlisted_since.is_some();
-            unlisted && target.is_idle() && target.lease.renewal.is_none()
+        let gone = self.unlisted.iter().filter(|id| {
+            let target = &self.targets[*id];
+            target.is_idle() && target.lease.renewal.is_none()
         });
-        let gone: Vec<Name> = gone.map(|(id, _)| id.clone()).collect();
+        let gone: Vec<Name> = gone.cloned().collect();
         for id in gone {
             self.targets.remove(&id);
             self.leased.remove(&id);
+            self.active.remove(&id);
+            self.unlisted.remove(&id);
             self.assignment.forget(&id);
             self.record_target(&id, TargetBelief::Gone, BeliefSource::List);
         }
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -85,6 +85,12 @@
     targets: BTreeMap<Name, Target>,
     /// The targets whose leases this host holds or acquires.
     leased: BTreeSet<Name>,
+    /// These, and those given up on which attempts of this host may still run: all that
+    /// anything may be due for. With 1,100 targets known to each of 147 hosts, looking at
+    /// all of them each 10 ms took 29 % of the decisions' processor time (simulator, seed 5).
+    active: BTreeSet<Name>,
+    /// The targets that the list doesn't show.
+    unlisted: BTreeSet<Name>,
     assignment: Assignment,
     tokens: Tokens,
     /// The tasks with an attempt on any target.
@@ -107,6 +113,8 @@
             safeguards: settings.safeguards,
             targets: BTreeMap::new(),
             leased: BTreeSet::new(),
+            active: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             assignment: Assignment::new(settings.name.clone()),
             tokens: Tokens::new(settings.epoch_ms, &settings.name),
             tasks: HashSet::new(),
@@ -122,9 +130,8 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Millis) {
         self.stopped_early.retain(|_, until| *until > now);
-        for target in self.targets.values_mut() {
-            target.expire_reservation(now);
-        }
+        self.forget_inactive();
+        self.for_each_active(|target| target.expire_reservation(now));
         self.forget_unlisted(now);
         self.end_expired(now);
         self.stop_overruns(now);
@@ -157,8 +164,8 @@
     /// Returns how many attempts run on targets.
     #[must_use]
     pub fn attempts(&self) -> usize {
-        let targets = self.targets.values();
-        targets.map(|target| target.attempts.len()).sum()
+        let targets = self.active_targets();
+        targets.map(|(_, target)| target.attempts.len()).sum()
     }
 
     /// Returns whether any attempt runs on a target, or has an end that no one took yet.
@@ -199,6 +206,28 @@
         targets.len() == 0 || targets.any(|target| target_choice::could_run(&target.entry, order))
     }
 
+    /// Returns the targets for which anything may be due.
+    fn active_targets(&self) -> impl Iterator<Item = (&Name, &Target)> {
+        self.active.iter().map(|id| (id, &self.targets[id]))
+    }
+
+    /// Changes the targets for which anything may be due.
+    fn for_each_active(&mut self, mut change: impl FnMut(&mut Target)) {
+        for id in &self.active {
+            let target = self.targets.get_mut(id);
+            change(target.expect("active targets are known"));
+        }
+    }
+
+    /// Drops targets from the active ones that were given up and on which nothing runs.
+    fn forget_inactive(&mut self) {
+        let targets = &self.targets;
+        self.active.retain(|id| {
+            let target = &targets[id];
+            !target.lease.is_free() || !target.is_idle() || target.is_reserved()
+        });
+    }
+
     /// Returns the targets whose leases this host holds or acquires.
     fn leased_targets(&self) -> impl Iterator<Item = &Target> {
         self.leased.iter().map(|id| &self.targets[id])
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -19,7 +19,9 @@
     /// Ends attempts on targets whose lease expired: nothing of them can run any
     /// more.
     pub(super) fn end_expired(&mut self, now: Millis) {
-        for target in self.targets.values_mut() {
+        for id in &self.active {
+            let target = self.targets.get_mut(id);
+            let target = target.expect("active targets are known");
             let waits = self.safeguards.silent_attempts_are_waited_for;
             let silent = target.health.silent_since().is_some();
             let over = target.lease.attempts_are_over(now) || (!waits && silent);
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -8,7 +8,6 @@
 use crate::rules::target_choice;
 use crate::Millis;
 
-use super::target::Target;
 use super::{Owner, Purpose, TargetLeases};
 
 /// How long the reply to a start is awaited, in ms: after that the attempt may run
@@ -73,7 +72,6 @@
 
     /// Ends what is reserved for a peer.
     pub fn end_reservations(&mut self, peer: &Name) {
-        let targets = self.targets.values_mut();
-        targets.for_each(|target: &mut Target| target.end_reservation(peer));
+        self.for_each_active(|target| target.end_reservation(peer));
     }
 }
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -38,21 +38,18 @@
         let mut missing = Vec::new();
         let mut stopping = Vec::new();
         for id in ids {
-            let mut targets = self.targets.iter_mut();
-            let found = targets.find(|(_, target)| {
-                let attempt = target.attempts.get(id);
-                attempt.is_some_and(|attempt| attempt.owner.host == *owner)
-            });
-            let Some((target_id, target)) = found else {
+            let Some(target_id) = self.target_with(id, owner) else {
                 self.stopped_early
                     .insert(id.clone(), now + STOPPED_EARLY_MS);
                 missing.push(id.clone());
                 continue;
             };
+            let target = self.targets.get_mut(&target_id).expect("just found");
             if target.request_stop(id, report) {
+                let id = id.clone();
                 stopping.push(Stopping {
-                    target: target_id.clone(),
-                    id: id.clone(),
+                    target: target_id,
+                    id,
                 });
             }
         }
@@ -61,6 +58,16 @@
         missing
     }
 
+    /// Returns the target at which an owner's attempt runs.
+    fn target_with(&self, id: &AttemptId, owner: &Name) -> Option<Name> {
+        let mut targets = self.active_targets();
+        let found = targets.find(|(_, target)| {
+            let attempt = target.attempts.get(id);
+            attempt.is_some_and(|attempt| attempt.owner.host == *owner)
+        });
+        found.map(|(target_id, _)| target_id.clone())
+    }
+
     /// Stops all attempts of an owner that belong to sessions before `session`: also those
     /// of an earlier incarnation that had the same number. Guards against two runs of a task
     /// at once after an owner died and was back within its lease, which renewed it (1 of 300
@@ -73,7 +80,9 @@
         reason: StopReason,
     ) {
         let mut stopping = Vec::new();
-        for (target_id, target) in &mut self.targets {
+        for target_id in &self.active {
+            let target = self.targets.get_mut(target_id);
+            let target = target.expect("active targets are known");
             let attempts = target.attempts.iter();
             let theirs = attempts.filter(|(_, attempt)| {
                 attempt.owner.host == *owner && attempt.owner.session < session
@@ -93,7 +102,9 @@
     /// Stops attempts that overrun, and suspends their targets.
     pub(super) fn stop_overruns(&mut self, now: Millis) {
         let mut stopping = Vec::new();
-        for (target_id, target) in &mut self.targets {
+        for target_id in &self.active {
+            let target = self.targets.get_mut(target_id);
+            let target = target.expect("active targets are known");
             let overruns = target.overruns(now);
             if !overruns.is_empty() {
                 target.health.suspend(now);
@@ -123,7 +134,7 @@
     /// while is asked by its renewals alone.
     pub(super) fn send_stops(&mut self, now: Millis) {
         let mut stops = Vec::new();
-        for (target_id, target) in &self.targets {
+        for (target_id, target) in self.active_targets() {
             let silent_since = target.health.silent_since();
             let silent = silent_since.is_some_and(|since| since + SILENT_RETRY_MS < now);
             if target.lease.is_free() || silent {
