Hear other halls' hosts more rarely, and tell hosts what is new instead of the whole list

Causes: each of 147 hosts sent 176 heartbeats a second, nine tenths of all its messages; and where hashes of the known hosts differed, each reply carried all 147 hosts. Change: towards other halls the interval grows on with the number of peers (2.5 s, then 6.7 s at 147 hosts); a peer that replied to nothing for an owner lease isn't alive, so that rare heartbeats let no task wait for a dead one; replies tell the hosts heard of lately, the whole list once in 250 ms.

--- a/crates/dispatcher-core/src/dispatcher/owner_leases.rs
+++ b/crates/dispatcher-core/src/dispatcher/owner_leases.rs
@@ -15,12 +15,11 @@
     pub(super) fn expire_leases(&mut self, now: Millis) {
         let mut expired = Vec::new();
         let mut lost = Vec::new();
-        let intervals = self.peers.intervals();
         for (name, peer) in self.peers.iter_mut() {
             if peer.owner_lease.expire(now) {
                 expired.push(name.clone());
             }
-            let alive = peer.heard.is_alive(now, &intervals);
+            let alive = peer.is_alive(now);
             if peer.was_alive == alive {
                 continue;
             }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -174,10 +174,8 @@
 
     /// Returns the peers' first demand.
     fn peers_first(&self, now: Millis) -> PeersFirst {
-        let intervals = self.peers.intervals();
         let demanding = self.peers.iter().filter(|(_, peer)| peer.has_demand());
-        let open =
-            demanding.filter_map(|(name, peer)| Some((name, peer.open_demand(now, &intervals)?)));
+        let open = demanding.filter_map(|(name, peer)| Some((name, peer.open_demand(now)?)));
         let first = open.min_by(|(_, a), (_, b)| {
             a.priority
                 .partial_cmp(&b.priority)
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -25,7 +25,7 @@
     #[must_use]
     pub fn may_fit(&self, now: Millis, resources: &Resources) -> bool {
         let peers = self.peers.values();
-        let mut open = peers.filter(|peer| peer.takes_tasks(now, &self.intervals));
+        let mut open = peers.filter(|peer| peer.takes_tasks(now));
         open.any(|peer| peer.may_fit(resources))
     }
 
@@ -39,15 +39,13 @@
         order: &TaskOrder,
         is_asked: impl Fn(&Name) -> bool,
     ) -> Option<ChosenPeer> {
-        let intervals = self.intervals;
         let preference = |peer: &Peer| Preference {
             other_hall: peer.info.hall != self.own.hall,
             extra_request: !is_asked(&peer.info.name),
-            stale_clock: !peer.heard.has_fresh_clock(now, &intervals),
+            stale_clock: !peer.has_fresh_clock(now),
         };
         let open = self.peers.values();
-        let open =
-            open.filter(|peer| peer.takes_tasks(now, &intervals) && peer.has_resources(order));
+        let open = open.filter(|peer| peer.takes_tasks(now) && peer.has_resources(order));
         let ranked: Vec<(Preference, &Peer)> = open.map(|peer| (preference(peer), peer)).collect();
         let best = ranked.iter().map(|(preference, _)| *preference).min()?;
         let best: Vec<&Peer> = ranked
@@ -58,7 +56,7 @@
         let picked = freer_of_two(&order.id.task, best.len(), |at| best[at].free_cpu());
         let chosen = ChosenPeer {
             name: best[picked].info.name.clone(),
-            has_fresh_clock: best[picked].heard.has_fresh_clock(now, &intervals),
+            has_fresh_clock: best[picked].has_fresh_clock(now),
         };
         if let Some(peer) = self.peers.get_mut(&chosen.name) {
             peer.deduct(order);
@@ -70,7 +68,7 @@
     /// are many.
     pub fn advertised_to(&mut self, now: Millis) -> Vec<Name> {
         let open = self.peers.iter();
-        let open = open.filter(|(_, peer)| peer.takes_tasks(now, &self.intervals));
+        let open = open.filter(|(_, peer)| peer.takes_tasks(now));
         let open: Vec<&Name> = open.map(|(name, _)| name).collect();
         let first = self.next_advertised % open.len().max(1);
         let count = ADVERTISED_PEERS.min(open.len());
--- a/crates/dispatcher-core/src/peers/mod.rs
+++ b/crates/dispatcher-core/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! for `choice`, peer choice. It relies on the dispatcher to send what is due.
 
 mod choice;
+mod membership;
 mod outbox;
 mod owner_lease;
 mod peer;
@@ -16,7 +17,6 @@
 use std::net::SocketAddr;
 
 use gannetridge_wire::Name;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::message::{HeartbeatReply, HostInfo, Reply};
 use crate::rules::heartbeat_intervals::HeartbeatIntervals;
@@ -24,6 +24,7 @@
 use crate::rules::liveness::is_in_minority;
 use crate::Millis;
 
+use membership::Membership;
 pub use peer::{Peer, StopRequest};
 
 /// Between heartbeats to a peer that doesn't answer, and to seeds, in ms. Chosen,
@@ -37,9 +38,10 @@
 pub struct Peers {
     own: HostInfo,
     times: Times,
-    intervals: HeartbeatIntervals,
-    /// A hash of all known hosts and their incarnations.
-    hash: u64,
+    /// Towards peers of the own hall, and of others.
+    near: HeartbeatIntervals,
+    far: HeartbeatIntervals,
+    membership: Membership,
     /// The position of the peer to which the next demand is advertised first.
     next_advertised: usize,
     seeds: Vec<SocketAddr>,
@@ -56,23 +58,17 @@
             seeds: Vec::new(),
             own,
             times,
-            intervals: HeartbeatIntervals::new(&times, 0),
-            hash: 0,
+            near: HeartbeatIntervals::near(&times, 0),
+            far: HeartbeatIntervals::far(&times, 0),
+            membership: Membership::default(),
             next_advertised: 0,
             next_seeds: 0,
             peers: BTreeMap::new(),
         };
         peers.set_seeds(seeds);
-        peers.hosts_changed();
         peers
     }
 
-    /// Returns the times between hosts.
-    #[must_use]
-    pub fn intervals(&self) -> HeartbeatIntervals {
-        self.intervals
-    }
-
     /// Returns a peer, if it is known.
     #[must_use]
     pub fn get(&self, name: &Name) -> Option<&Peer> {
@@ -96,12 +92,29 @@
 
     /// Updates what depends on which hosts are known.
     fn hosts_changed(&mut self) {
-        self.intervals = HeartbeatIntervals::new(&self.times, self.peers.len());
-        let mut text = String::new();
-        for host in self.hosts() {
-            text.push_str(&format!("{} {}\n", host.name, host.incarnation));
+        self.membership.hosts_changed();
+        let known = self.peers.len();
+        let (near, far) = (
+            HeartbeatIntervals::near(&self.times, known),
+            HeartbeatIntervals::far(&self.times, known),
+        );
+        if (near, far) == (self.near, self.far) {
+            return;
+        }
+        (self.near, self.far) = (near, far);
+        for peer in self.peers.values_mut() {
+            let same_hall = peer.info.hall == self.own.hall;
+            peer.intervals = if same_hall { near } else { far };
+        }
+    }
+
+    /// Returns the times towards a host.
+    fn intervals_towards(&self, info: &HostInfo) -> HeartbeatIntervals {
+        if info.hall == self.own.hall {
+            self.near
+        } else {
+            self.far
         }
-        self.hash = xxh3_64(text.as_bytes());
     }
 
     /// Takes other seeds.
@@ -115,13 +128,16 @@
         if info.name == self.own.name {
             return;
         }
+        let intervals = self.intervals_towards(info);
         match self.peers.get_mut(&info.name) {
             None => {
-                let peer = Peer::new(now, info.clone());
+                let peer = Peer::new(now, info.clone(), intervals);
                 self.peers.insert(info.name.clone(), peer);
             }
             Some(peer) if info.incarnation > peer.info.incarnation => {
                 peer.info = info.clone();
+                peer.intervals = intervals;
+                peer.learnt = now;
                 peer.heard.refused = false;
                 peer.hurry_heartbeat(now);
                 peer.begin_incarnation(info.incarnation);
@@ -131,26 +147,11 @@
         self.hosts_changed();
     }
 
-    /// Returns a hash of all known hosts.
-    #[must_use]
-    pub fn hash(&self) -> u64 {
-        self.hash
-    }
-
-    /// Returns all known hosts, this one among them, by name.
-    #[must_use]
-    pub fn hosts(&self) -> Vec<HostInfo> {
-        let others = self.peers.values().map(|peer| peer.info.clone());
-        let mut hosts: Vec<HostInfo> = others.chain([self.own.clone()]).collect();
-        hosts.sort_by(|a, b| a.name.cmp(&b.name));
-        hosts
-    }
-
     /// Returns the hosts that live and stay, this one if `own_stays`.
     #[must_use]
     pub fn staying(&self, now: Millis, own_stays: bool) -> Vec<HostInfo> {
         let others = self.peers.values();
-        let others = others.filter(|peer| peer.stays(now, &self.intervals));
+        let others = others.filter(|peer| peer.stays(now));
         let others = others.map(|peer| peer.info.clone());
         let own = own_stays.then(|| self.own.clone());
         others.chain(own).collect()
@@ -161,11 +162,13 @@
     #[must_use]
     pub fn is_leased_elsewhere(&self, now: Millis, target: &Name) -> bool {
         let heard = self.peers.values().map(|peer| &peer.heard);
-        let minority = is_in_minority(now, &self.intervals, heard);
+        // Peers of other halls are heard more rarely; whether this host is cut off has to
+        // show as soon as targets of silent peers of its own hall could be taken.
+        let minority = is_in_minority(now, &self.near, heard);
         let mut peers = self.peers.values();
         peers.any(|peer| {
             let unheard = minority && peer.heard.was_there(now);
-            let keeps = peer.heard.keeps_targets(now, &self.intervals) || unheard;
+            let keeps = peer.heard.keeps_targets(now, &peer.intervals) || unheard;
             keeps && peer.has_leased(target)
         })
     }
@@ -174,7 +177,7 @@
     #[must_use]
     pub fn alive(&self, now: Millis) -> usize {
         let peers = self.peers.values();
-        let alive = peers.filter(|peer| peer.heard.is_alive(now, &self.intervals));
+        let alive = peers.filter(|peer| peer.is_alive(now));
         alive.count()
     }
 
@@ -192,6 +195,7 @@
         peer.replied(now, reply);
         if reply.incarnation > peer.info.incarnation {
             peer.begin_incarnation(reply.incarnation);
+            peer.learnt = now;
             self.hosts_changed();
         }
         another
@@ -209,10 +213,9 @@
 
     /// Returns the peers to which a heartbeat is due.
     pub fn heartbeats_due(&mut self, now: Millis) -> Vec<Name> {
-        let intervals = self.intervals;
         let mut due = Vec::new();
         for (name, peer) in &mut self.peers {
-            if peer.take_due_heartbeat(now, &intervals, SILENT_HEARTBEAT_MS) {
+            if peer.take_due_heartbeat(now, SILENT_HEARTBEAT_MS) {
                 due.push(name.clone());
             }
         }
@@ -225,7 +228,7 @@
             if !used.contains(name) {
                 peer.end_use();
             } else if peer.heard.in_use_since.is_none() {
-                peer.begin_use(now, &self.intervals);
+                peer.begin_use(now);
             }
         }
     }
--- a/crates/dispatcher-core/src/peers/peer.rs
+++ b/crates/dispatcher-core/src/peers/peer.rs
@@ -50,6 +50,12 @@
 pub struct Peer {
     /// Its latest incarnation.
     pub info: HostInfo,
+    /// How often the two send each other heartbeats, and what follows from it.
+    pub intervals: HeartbeatIntervals,
+    /// When this incarnation was heard of.
+    pub(super) learnt: Millis,
+    /// Since when its heartbeats show that it knows other hosts than this one.
+    pub(super) differs_since: Option<Millis>,
     /// What was heard of it, and when.
     pub heard: Heard,
     /// Its clock as last heard, to be sent back.
@@ -81,9 +87,12 @@
 }
 
 impl Peer {
-    pub(super) fn new(now: Millis, info: HostInfo) -> Self {
+    pub(super) fn new(now: Millis, info: HostInfo, intervals: HeartbeatIntervals) -> Self {
         Self {
             info,
+            intervals,
+            learnt: now,
+            differs_since: None,
             heard: Heard {
                 last: now,
                 ..Heard::default()
@@ -105,15 +114,26 @@
         }
     }
 
+    /// Returns whether it is taken to live.
+    #[must_use]
+    pub fn is_alive(&self, now: Millis) -> bool {
+        self.heard.is_alive(now, &self.intervals)
+    }
+
     /// Returns whether tasks may be handed to it.
     #[must_use]
-    pub fn takes_tasks(&self, now: Millis, intervals: &HeartbeatIntervals) -> bool {
-        self.heard.is_alive(now, intervals) && !self.leaving
+    pub fn takes_tasks(&self, now: Millis) -> bool {
+        self.heard.is_alive(now, &self.intervals) && !self.leaving
+    }
+
+    /// Returns whether a task may be handed to it now, as far as its clock goes.
+    pub(super) fn has_fresh_clock(&self, now: Millis) -> bool {
+        self.heard.has_fresh_clock(now, &self.intervals)
     }
 
     /// Returns whether it may hold targets: it lives, or is slow, and stays.
-    pub(super) fn stays(&self, now: Millis, intervals: &HeartbeatIntervals) -> bool {
-        !self.leaving && self.heard.keeps_targets(now, intervals)
+    pub(super) fn stays(&self, now: Millis) -> bool {
+        !self.leaving && self.heard.keeps_targets(now, &self.intervals)
     }
 
     /// Returns whether it said that it holds a target's lease.
@@ -130,10 +150,16 @@
         }
     }
 
+    /// Records that it was asked something.
+    pub fn asked(&mut self, now: Millis) {
+        self.heard.unanswered_since.get_or_insert(now);
+    }
+
     /// Handles a newer incarnation, whose sessions begin anew.
     pub(super) fn begin_incarnation(&mut self, incarnation: u64) {
         self.info.incarnation = incarnation;
         self.owner_lease.session = 0;
+        self.heard.unanswered_since = None;
         self.demand = None;
     }
 
@@ -160,6 +186,7 @@
         self.hear_clock(now, reply.incarnation, reply.clock);
         self.heard.last = now;
         self.heard.refused = false;
+        self.heard.unanswered_since = None;
         self.free = reply.free.clone();
         self.free_heard = now;
     }
@@ -182,9 +209,9 @@
     }
 
     /// Records that attempts of this host may run there from now on.
-    pub fn begin_use(&mut self, now: Millis, intervals: &HeartbeatIntervals) {
+    pub fn begin_use(&mut self, now: Millis) {
         self.heard.in_use_since.get_or_insert(now);
-        let latest = self.clock_heard() + intervals.heartbeat;
+        let latest = self.clock_heard() + self.intervals.heartbeat;
         self.schedule.no_later_than(latest);
     }
 
@@ -207,12 +234,8 @@
     }
 
     /// Returns whether a heartbeat is due, and plans the next one if it is.
-    pub(super) fn take_due_heartbeat(
-        &mut self,
-        now: Millis,
-        intervals: &HeartbeatIntervals,
-        silent_ms: Millis,
-    ) -> bool {
+    pub(super) fn take_due_heartbeat(&mut self, now: Millis, silent_ms: Millis) -> bool {
+        let intervals = &self.intervals;
         let alive = self.heard.is_alive(now, intervals);
         let interval = match (alive, self.heard.in_use_since) {
             (true, Some(_)) => intervals.heartbeat,
@@ -224,8 +247,8 @@
 
     /// Postpones the next heartbeat, since the peer just answered something else.
     /// Now and then one is due all the same: it tells more.
-    pub fn postpone_heartbeat(&mut self, now: Millis, intervals: &HeartbeatIntervals) {
-        self.schedule.postpone(now, intervals);
+    pub fn postpone_heartbeat(&mut self, now: Millis) {
+        self.schedule.postpone(now, &self.intervals);
     }
 
     /// Returns whether its clock is to be asked for: not if that was done within
@@ -251,13 +274,9 @@
 
     /// Returns its demand if that is open and tasks may be handed to it.
     #[must_use]
-    pub fn open_demand(
-        &self,
-        now: Millis,
-        intervals: &HeartbeatIntervals,
-    ) -> Option<OpenDemand<'_>> {
+    pub fn open_demand(&self, now: Millis) -> Option<OpenDemand<'_>> {
         let heard = self.demand.as_ref()?;
-        let open = heard.until > now && self.takes_tasks(now, intervals);
+        let open = heard.until > now && self.takes_tasks(now);
         open.then(|| OpenDemand {
             demand: &heard.demand,
             priority: aged(&heard.demand.priority, now.saturating_sub(heard.heard)),
--- a/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
+++ b/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
@@ -4,7 +4,8 @@
 //! owner lease and come as often as that needs. All other pairs only have to
 //! know that the other one lives: the more hosts there are, the rarer these
 //! heartbeats, so that what one host spends on them doesn't grow with their
-//! number.
+//! number. Within a hall they don't get as rare as between halls: hosts of one hall take
+//! over each other's targets, and hand each other tasks first.
 //!
 //! **Inputs.** [`Times`] in ms, the number of known peers. **Measured.** Commit
 //! 5f192e0: with every pair as often as leases need, 905,000 of 1.6 million
@@ -18,11 +19,21 @@
 
 /// Heartbeats that a host sends to idle peers in the time of one heartbeat to a
 /// peer with attempts, as long as the interval doesn't grow beyond
-/// [`LONGEST_IDLE_HEARTBEATS`]. Chosen, not measured by itself.
+/// [`LONGEST_IDLE_HEARTBEATS`] or [`LONGEST_FAR_HEARTBEATS`]. Chosen, not measured by itself.
 const IDLE_PEERS_PER_HEARTBEAT: usize = 8;
-/// The longest idle interval, as a multiple of the shortest: longer ones would
+/// The longest idle interval within a hall, as a multiple of the shortest: longer ones would
 /// let dead hosts go unnoticed for too long. Chosen, not measured by itself.
 const LONGEST_IDLE_HEARTBEATS: f64 = 6.0;
+/// Heartbeats to idle peers of other halls in the time of one heartbeat to a peer with
+/// attempts: they hold no targets of this hall, and before a task goes to one its clock is
+/// asked for. Chosen, not measured by itself.
+const FAR_PEERS_PER_HEARTBEAT: usize = 3;
+/// The longest interval towards other halls, as a multiple of the shortest, 7 s with the
+/// users' bounds. Chosen, not measured by itself.
+const LONGEST_FAR_HEARTBEATS: f64 = 50.0;
+/// With fewer peers all of them are heard as often as those of the own hall: from here on
+/// these intervals no longer grow, so that the number of heartbeats would.
+const LEAST_PEERS_FOR_FAR: usize = IDLE_PEERS_PER_HEARTBEAT * LONGEST_IDLE_HEARTBEATS as usize;
 /// An idle peer is alive as long as it was heard within this many intervals:
 /// one heartbeat may be lost. Chosen, not measured.
 const ALIVE_INTERVALS: f64 = 2.5;
@@ -48,11 +59,37 @@
 }
 
 impl HeartbeatIntervals {
-    /// Reckons the intervals for a number of peers.
+    /// Reckons the intervals towards peers of the own hall for a number of peers in all.
     #[must_use]
-    pub fn new(times: &Times, peers: usize) -> Self {
-        let share = peers as f64 / IDLE_PEERS_PER_HEARTBEAT as f64;
-        let idle = times.heartbeat as f64 * share.clamp(1.0, LONGEST_IDLE_HEARTBEATS);
+    pub fn near(times: &Times, peers: usize) -> Self {
+        Self::new(
+            times,
+            peers,
+            IDLE_PEERS_PER_HEARTBEAT,
+            LONGEST_IDLE_HEARTBEATS,
+        )
+    }
+
+    /// Reckons the intervals towards peers of other halls for a number of peers in all.
+    #[must_use]
+    pub fn far(times: &Times, peers: usize) -> Self {
+        let near = Self::near(times, peers);
+        let far = Self::new(
+            times,
+            peers,
+            FAR_PEERS_PER_HEARTBEAT,
+            LONGEST_FAR_HEARTBEATS,
+        );
+        if peers < LEAST_PEERS_FOR_FAR {
+            near
+        } else {
+            far
+        }
+    }
+
+    fn new(times: &Times, peers: usize, per_heartbeat: usize, longest: f64) -> Self {
+        let share = peers as f64 / per_heartbeat as f64;
+        let idle = times.heartbeat as f64 * share.clamp(1.0, longest);
         let alive = ((idle * ALIVE_INTERVALS) as Millis).max(times.owner_lease);
         Self {
             heartbeat: times.heartbeat,
--- a/crates/dispatcher-core/src/rules/liveness.rs
+++ b/crates/dispatcher-core/src/rules/liveness.rs
@@ -2,7 +2,9 @@
 //!
 //! **Rule.** A peer gets tasks while it acknowledged something lately: within
 //! one owner lease where attempts of this host run there, within some idle
-//! intervals elsewhere. An address that refuses connections ends it at once.
+//! intervals elsewhere. One that was asked anything and replied to nothing for an owner
+//! lease isn't alive until it replies, so that rare heartbeats don't let tasks wait for a
+//! dead peer. An address that refuses connections ends it at once.
 //! Its targets are left to it for longer, since targets that change hands cost
 //! more than a host that is slow for a moment. A host that hears less than half
 //! of the others is probably cut off itself: it leaves their targets to them.
@@ -35,6 +37,8 @@
     pub last: Millis,
     /// When its clock was last heard, if it was.
     pub clock: Option<Millis>,
+    /// Since when it has replied to nothing that it was asked, if it was asked.
+    pub unanswered_since: Option<Millis>,
     /// Whether its address refused the last connection.
     pub refused: bool,
     /// Since when attempts of this host may run there, if they may.
@@ -48,6 +52,10 @@
         let Some(acknowledged) = self.acknowledged.filter(|_| !self.refused) else {
             return false;
         };
+        let unanswered = self.unanswered_since;
+        if unanswered.is_some_and(|since| since + intervals.owner_lease <= now) {
+            return false;
+        }
         let fresh = acknowledged + intervals.owner_lease > now;
         let in_use = self
             .in_use_since
