Let two hosts of a hall read the store for the others

Change: rules/store_readers.rs; hosts that don't read ask a reader twice within a leaving target's bound what changed since their version; what is believed has an age, never goes back, and is read from the store once it is stale. A host that the store turns away is told by its own or another hall's readers, also from its start.

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -9,7 +9,7 @@
 
 pub use texts::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, PeerState, Rejection, StopReason,
-    TargetBelief,
+    StoreReading, TargetBelief,
 };
 
 /// A decision, or a change of what the host believes.
@@ -138,6 +138,13 @@
         /// Where it came from.
         from: ConfigurationSource,
     },
+    /// The host learns what the platform's store holds in another way than before.
+    StoreReading {
+        /// The new way.
+        reading: StoreReading,
+        /// The age of what it believes, if it knows anything.
+        age_ms: Option<Millis>,
+    },
     /// The platform's store was lost or is back.
     Store {
         /// Whether it answers.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -176,3 +176,18 @@
         Peer = "peer",
     }
 }
+
+named! {
+    /// How a host learns what the platform's store holds; see
+    /// [`crate::rules::store_readers`].
+    StoreReading {
+        /// It reads for itself alone.
+        Alone = "alone",
+        /// It reads, and others ask it.
+        Reader = "reader",
+        /// Others tell it.
+        Told = "told",
+        /// Nobody told it in time: it reads for itself.
+        Stale = "stale",
+    }
+}
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -12,19 +12,22 @@
 mod peer_requests;
 mod placement;
 mod stopping;
+mod store;
 mod timers;
 
 use std::net::SocketAddr;
 
 use crate::action::Action;
 use crate::configuration::Configuration;
-use crate::decision::{ConfigurationSource, Decision};
+use crate::decision::{ConfigurationSource, Decision, StoreReading};
 use crate::event::Event;
 use crate::jobs::Jobs;
 use crate::message::HostInfo;
 use crate::peers::Peers;
 use crate::rules::leases::Times;
+use crate::rules::store_readers::Freshness;
 use crate::settings::{BoundsError, Settings};
+use crate::store_news::StoreNews;
 use crate::targets::TargetLeases;
 use crate::Millis;
 
@@ -46,6 +49,8 @@
     pub attempts: usize,
     /// Peers that are taken to live.
     pub peers_alive: usize,
+    /// The age of what is believed of the platform's store, in ms, if anything is known.
+    pub store_age_ms: Option<Millis>,
 }
 
 /// One host.
@@ -57,6 +62,9 @@
     jobs: Jobs,
     targets: TargetLeases,
     peers: Peers,
+    store_news: StoreNews,
+    /// How this host learns what the store holds, as last logged.
+    noted_reading: Option<StoreReading>,
     calls: PeerCalls,
     timers: Timers,
     stopping: Option<Stopping>,
@@ -83,6 +91,8 @@
             jobs: Jobs::new(settings.safeguards),
             targets: TargetLeases::new(&settings, times),
             peers: Peers::new(own.clone(), &settings.seeds, times),
+            noted_reading: None,
+            store_news: StoreNews::new(Freshness::new(settings.bounds.drain_ms)),
             settings,
             times,
             own,
@@ -125,6 +135,7 @@
             targets_leased: targets.leased,
             attempts: targets.attempts,
             peers_alive: self.peers.alive(now),
+            store_age_ms: self.store_news.age(now),
         }
     }
 
@@ -176,8 +187,22 @@
                 self.peer_replied(now, call, reply.map(|reply| *reply));
             }
             Event::TargetReply { call, reply } => self.targets.replied(now, call, reply),
-            Event::TargetsChanged(changes) => self.targets.list_changed(now, changes),
-            Event::TargetsRead(entries) => self.targets.list_read(now, entries),
+            Event::TargetsChanged(changes) => {
+                self.store_news.list_changed(&changes);
+                self.targets.list_changed(now, changes);
+            }
+            Event::TargetsRead(entries) => {
+                self.store_news.list_read(&entries);
+                self.targets.list_read(now, entries);
+            }
+            Event::StoreAnswered {
+                table,
+                version,
+                age_ms,
+            } => {
+                let at = now.saturating_sub(age_ms);
+                self.store_news.known(table, version, at);
+            }
             Event::StoreReachable(reachable) => self.store_reachable(now, reachable),
             Event::ConfigurationRead(configuration) => {
                 self.use_configuration(configuration, ConfigurationSource::Store)
@@ -192,11 +217,6 @@
         }
     }
 
-    fn store_reachable(&mut self, now: Millis, reachable: bool) {
-        self.targets.store_reachable(now, reachable);
-        self.record(Decision::Store { reachable });
-    }
-
     /// Puts a configuration in force unless it is older than the present one: a
     /// host never goes back to an earlier version.
     fn use_configuration(&mut self, configuration: Configuration, from: ConfigurationSource) {
--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -24,6 +24,9 @@
 /// Marks the numbers of calls to peers: calls to targets have theirs without it.
 const PEER_CALLS: u64 = 1 << 63;
 
+/// The session of calls to a seed, whose host isn't known yet: below all others.
+pub(super) const SEED_SESSION: u64 = 0;
+
 /// What a call to a peer is for.
 pub(super) enum Purpose {
     Heartbeat,
@@ -33,6 +36,10 @@
     Stop,
     Ended,
     Configuration,
+    StoreNews {
+        /// When it was sent.
+        asked: Millis,
+    },
 }
 
 /// Whom a call went to.
@@ -72,7 +79,8 @@
         request: Request,
         purpose: Purpose,
     ) -> Option<CallId> {
-        let peer = self.peers.get(name)?;
+        let peer = self.peers.get_mut(name)?;
+        peer.asked(now);
         let (address, session) = (peer.info.address, peer.session);
         let echoed_clock = peer.echoed_clock;
         let callee = Callee::Peer {
@@ -86,7 +94,7 @@
 
     pub(super) fn call_seed(&mut self, now: Millis, seed: SocketAddr, request: Request) {
         let call = self.calls.begin(Callee::Seed);
-        self.send(now, call, seed, 0, None, request);
+        self.send(now, call, seed, SEED_SESSION, None, request);
     }
 
     fn send(
@@ -116,9 +124,8 @@
     /// Hands tasks to a peer.
     pub(super) fn send_place(&mut self, now: Millis, name: &Name, orders: Vec<TaskOrder>) {
         let ids: Vec<AttemptId> = orders.iter().map(|order| order.id.clone()).collect();
-        let intervals = self.peers.intervals();
         if let (Some(first), Some(peer)) = (ids.first(), self.peers.get_mut(name)) {
-            peer.begin_use(now, &intervals);
+            peer.begin_use(now);
             let age_ms = now.saturating_sub(peer.free_heard);
             self.record(Decision::TasksHandedOver {
                 peer: name.clone(),
@@ -172,7 +179,6 @@
             }
             Err(SendFailure::NotSent | SendFailure::Unknown) => return,
         };
-        let intervals = self.peers.intervals();
         let clock_heard = self.peers.get(name).map_or(0, |peer| peer.clock_heard());
         if self.peers.replied(now, name, reply) {
             self.lose_session(now, name, clock_heard);
@@ -182,7 +188,7 @@
                 peer.heard.acknowledged = Some(now);
             }
             if !matches!(purpose, Purpose::Heartbeat) {
-                peer.postpone_heartbeat(now, &intervals);
+                peer.postpone_heartbeat(now);
             }
         }
     }
@@ -232,6 +238,7 @@
                     self.use_configuration(configuration, ConfigurationSource::Peer);
                 }
             }
+            Purpose::StoreNews { asked } => self.store_news_replied(now, name, asked, reply),
         }
     }
 
@@ -272,7 +279,8 @@
     /// Asks a peer for its configuration if that is newer than this host's.
     pub(super) fn fetch_configuration(&mut self, now: Millis, name: &Name) {
         let theirs = self.peers.get(name).map_or(0, |peer| peer.version);
-        if theirs > self.version() && !self.calls.fetching_configuration {
+        let newer = theirs > self.version();
+        if newer && !self.calls.fetching_configuration && !self.awaits_configuration(now) {
             let call = self.call_peer(now, name, Request::Configuration, Purpose::Configuration);
             self.calls.fetching_configuration = call.is_some();
         }
@@ -280,7 +288,7 @@
 }
 
 /// Returns the part of a reply that depends on the request.
-fn body(reply: Result<Reply, SendFailure>) -> Option<ReplyBody> {
+pub(super) fn body(reply: Result<Reply, SendFailure>) -> Option<ReplyBody> {
     reply.ok().map(|reply| reply.body)
 }
 
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -16,6 +16,7 @@
 use crate::targets::{Owner, OwnerSession};
 use crate::Millis;
 
+use super::peer_calls::SEED_SESSION;
 use super::placement::MAX_SCHEDULED;
 use super::Dispatcher;
 
@@ -87,7 +88,7 @@
     ) -> ReplyBody {
         match request {
             Request::Heartbeat(heartbeat) => {
-                let reply = self.heartbeat_received(now, name, &heartbeat);
+                let reply = self.heartbeat_received(now, name, session, &heartbeat);
                 self.fetch_configuration(now, name);
                 reply
             }
@@ -114,6 +115,7 @@
                 ReplyBody::Acknowledged
             }
             Request::Configuration => ReplyBody::Configuration(self.configuration.clone()),
+            Request::StoreNews { after } => ReplyBody::StoreNews(self.tell_store_news(now, after)),
         }
     }
 
@@ -135,12 +137,16 @@
         self.targets.free(now)
     }
 
-    fn heartbeat_received(&mut self, now: Millis, name: &Name, heartbeat: &Heartbeat) -> ReplyBody {
-        let hosts = if heartbeat.hosts_hash == self.peers.hash() {
-            Vec::new()
-        } else {
-            self.peers.hosts()
-        };
+    fn heartbeat_received(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        session: OwnerSession,
+        heartbeat: &Heartbeat,
+    ) -> ReplyBody {
+        let knows_nobody = session.number == SEED_SESSION;
+        let hash = heartbeat.hosts_hash;
+        let hosts = self.peers.hosts_to_tell(now, name, hash, knows_nobody);
         if let Some(peer) = self.peers.get_mut(name) {
             peer.heartbeat(now, heartbeat);
         }
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -53,6 +53,7 @@
         self.assign(now);
         self.targets.tick(now);
         self.send_heartbeats(now);
+        self.ask_for_store_news(now);
         self.peers.forget(now);
         self.stop_if_done(now);
     }
@@ -80,7 +81,7 @@
         staying
     }
 
-    pub(super) fn heartbeat(&self) -> Heartbeat {
+    pub(super) fn heartbeat(&mut self) -> Heartbeat {
         Heartbeat {
             leaving: self.stopping.is_some(),
             version: self.version(),
--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -2,6 +2,7 @@
 //! sockets.
 
 use gannetridge_wire::Name;
+use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
 use crate::message::{AttemptId, Envelope, HostInfo, Reply};
@@ -28,7 +29,7 @@
 }
 
 /// A target as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// The target's id; another incarnation has another.
     pub id: Name,
@@ -47,7 +48,7 @@
 }
 
 /// A change of the list of targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetChange {
     /// The target is there, as described.
     There(TargetEntry),
@@ -138,6 +139,15 @@
     pub spec: JobSpec,
 }
 
+/// A table of the platform's store whose changes hosts tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreTable {
+    /// The configuration.
+    Configuration,
+    /// The targets.
+    Targets,
+}
+
 /// What happens to a host.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -198,6 +208,15 @@
     TargetsRead(Vec<TargetEntry>),
     /// The platform's store was lost or is back.
     StoreReachable(bool),
+    /// A table is known up to a version; what changed came before this.
+    StoreAnswered {
+        /// The table.
+        table: StoreTable,
+        /// The store's version.
+        version: u64,
+        /// Since when the version may not be the newest, in ms: since the store was asked.
+        age_ms: Millis,
+    },
     /// A configuration was read.
     ConfigurationRead(Configuration),
     /// Hosts were found in the platform's table.
--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `jobs`: the owner's side, for jobs of the callers connected here
 //! - `targets`: the targets, and the leases on them that this host holds
 //! - `peers`: the other hosts
+//! - [`store_news`]: from which version of the store what is believed comes, and when
 //! - [`dispatcher`]: hands on what one of these leaves for another
 //! - [`event`], [`action`], [`decision`], [`message`]: what goes in, what comes out,
 //!   what is logged, what hosts send each other
@@ -26,12 +27,13 @@
 pub mod rules;
 pub mod settings;
 pub mod spec;
+pub mod store_news;
 mod targets;
 
 pub use action::{Action, Answer, StartOrder, TargetCall};
 pub use decision::Decision;
 pub use dispatcher::Dispatcher;
-pub use event::{CallId, Event, RequestId, SendFailure, TargetReply};
+pub use event::{CallId, Event, RequestId, SendFailure, StoreTable, TargetReply};
 pub use settings::{Bounds, BoundsError, Safeguards, Settings};
 
 /// Milliseconds of this host's steady clock.
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
+use crate::event::{TargetChange, TargetEntry};
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -214,6 +215,11 @@
     /// Asks for the configuration.
     #[serde(rename = "Queues")]
     Configuration,
+    /// Asks what changed in the platform's store.
+    StoreNews {
+        /// The version up to which the sender knows the list of targets, 0 for none.
+        after: u64,
+    },
 }
 
 impl Request {
@@ -228,6 +234,7 @@
             Self::Stop { .. } => "stop",
             Self::Ended(_) => "ended",
             Self::Configuration => "queues",
+            Self::StoreNews { .. } => "store-news",
         }
     }
 }
@@ -272,11 +279,39 @@
     /// The request was carried out.
     #[serde(rename = "Noted")]
     Acknowledged,
+    /// What changed in the platform's store; none if the host doesn't know.
+    StoreNews(Option<StoreNewsReply>),
     /// Nothing was done: the request is of an earlier incarnation or session,
     /// or the sender's owner lease has expired.
     Stale,
 }
 
+/// What a host knows of the platform's store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoreNewsReply {
+    /// The version of the store from which the list of targets comes.
+    pub targets_version: u64,
+    /// The version of the store up to which the configuration's table is known.
+    pub configuration_version: u64,
+    /// The version of the configuration that the host has in force.
+    pub in_force: u64,
+    /// Since when these may not be the newest, in ms.
+    pub age_ms: Millis,
+    /// Whether a target that isn't listed is gone: not while the store is out, or just back.
+    pub settled: bool,
+    /// The list of targets, or what changed in it.
+    pub list: ListNews,
+}
+
+/// The list of targets, as one host tells it another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ListNews {
+    /// All of it.
+    Whole(Vec<TargetEntry>),
+    /// What changed after the version that the asking host knows, in order.
+    Changes(Vec<TargetChange>),
+}
+
 /// The reply to a heartbeat.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HeartbeatReply {
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -15,7 +15,9 @@
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`] |
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
+//! | Who reads the platform's store? | [`store_readers`] |
 //! | Is a peer alive? | [`liveness`] |
+//! | Which hosts is a peer told? | [`membership`] |
 //! | Who may start what until when? | [`leases`], [`heartbeat_intervals`] |
 //!
 //! A measurement says what was played and how often; *worth* is what the users' measures
@@ -29,8 +31,10 @@
 pub mod heartbeat_intervals;
 pub mod leases;
 pub mod liveness;
+pub mod membership;
 pub mod peer_choice;
 pub mod priority;
 pub mod retry;
+pub mod store_readers;
 pub mod target_choice;
 pub mod target_health;
--- a/crates/dispatcher-sim/src/world/faults.rs
+++ b/crates/dispatcher-sim/src/world/faults.rs
@@ -1,7 +1,8 @@
 //! Faults that begin and end.
 
+use gannetridge_dispatcher_core::decision::StoreReading;
 use gannetridge_dispatcher_core::event::TargetChange;
-use gannetridge_dispatcher_core::{Event, Millis};
+use gannetridge_dispatcher_core::{Event, Millis, StoreTable};
 use rand::Rng;
 
 use crate::faults;
@@ -10,7 +11,7 @@
 
 use super::building::configuration;
 use super::parts::Happening;
-use super::{lift, World, LAPSE_MS, NEWS_MS};
+use super::{lift, World, LAPSE_MS, LARGE_HALL, NEWS_MS, READ_MS};
 
 impl World {
     pub(super) fn fault(&mut self) {
@@ -124,6 +125,9 @@
 
     pub(super) fn store_back(&mut self) {
         self.store_troubled = self.now;
+        if self.hosts_tell_each_other() {
+            return;
+        }
         for host in 0..self.hosts.len() {
             self.tell(host, 20, Event::StoreReachable(true));
             let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
@@ -137,6 +141,38 @@
         }
     }
 
+    /// Returns whether halls are so large that hosts tell each other what the store holds.
+    pub(super) fn hosts_tell_each_other(&self) -> bool {
+        self.scenario.hosts > LARGE_HALL
+    }
+
+    /// Lets a host read the store, unless others tell it.
+    pub(super) fn read_store(&mut self, host: usize) {
+        self.at(self.now + READ_MS, Happening::Read(host));
+        let there = &self.hosts[host];
+        if !there.up || there.frozen {
+            return;
+        }
+        let at = self.now - there.base;
+        if there.dispatcher.store_reading(at) == StoreReading::Told {
+            return;
+        }
+        if self.store_out > 0 {
+            return self.tell(host, 1, Event::StoreReachable(false));
+        }
+        let version = self.store_version;
+        self.tell(host, 1, Event::StoreReachable(true));
+        self.tell(host, 1, Event::TargetsRead(self.list()));
+        for table in [StoreTable::Targets, StoreTable::Configuration] {
+            let answered = Event::StoreAnswered {
+                table,
+                version,
+                age_ms: 1,
+            };
+            self.tell(host, 1, answered);
+        }
+    }
+
     pub(super) fn wake(&mut self, host: usize) {
         let there = &mut self.hosts[host];
         there.frozen = false;
@@ -208,7 +244,8 @@
     }
 
     pub(super) fn news(&mut self, changes: Vec<TargetChange>) {
-        if self.store_out == 0 {
+        self.store_version += 1;
+        if self.store_out == 0 && !self.hosts_tell_each_other() {
             for host in 0..self.hosts.len() {
                 self.tell(host, NEWS_MS, Event::TargetsChanged(changes.clone()));
             }
--- a/crates/dispatcher-sim/src/world/mod.rs
+++ b/crates/dispatcher-sim/src/world/mod.rs
@@ -29,6 +29,10 @@
 const STEP_MS: Millis = 5;
 /// From a change of the list until hosts hear of it, in ms.
 const NEWS_MS: Millis = 250;
+/// Between a host's reads of the store, in ms, where hosts tell each other what it holds.
+const READ_MS: Millis = 500;
+/// Halls of more hosts than this are so large that they do.
+const LARGE_HALL: usize = 4;
 /// From a target's silent death until its entry goes, in ms.
 const LAPSE_MS: Millis = 4_500;
 /// A caller with less time than this, in ms, may get no answer in time.
@@ -75,6 +79,8 @@
     lost_answers: u32,
     lossy_peers: u32,
     store_out: u32,
+    /// Grows with each change of what the store holds.
+    store_version: u64,
     store_troubled: Millis,
     leaving_since: HashMap<Name, Millis>,
     checks: Checks,
@@ -108,6 +114,7 @@
             lost_answers: 0,
             lossy_peers: 0,
             store_out: 0,
+            store_version: 1,
             store_troubled: 0,
             leaving_since: HashMap::new(),
             checks: Checks::default(),
@@ -130,6 +137,11 @@
                 world.at(at, Happening::Probe(host));
             }
         }
+        if world.hosts_tell_each_other() {
+            for host in 0..world.hosts.len() {
+                world.at(host as Millis, Happening::Read(host));
+            }
+        }
         if scenario.fault_gap_ms > 0 {
             world.at(QUIET_MS, Happening::Fault);
         }
@@ -227,6 +239,7 @@
                     self.tell(host, 1, Event::TargetsRead(self.list()));
                 }
             }
+            Happening::Read(host) => self.read_store(host),
         }
     }
 
--- a/crates/dispatcher-sim/src/world/parts.rs
+++ b/crates/dispatcher-sim/src/world/parts.rs
@@ -90,4 +90,6 @@
     NewTarget(usize),
     Lapse(Name),
     ReadAgain(usize),
+    /// A host reads the store, if nobody tells it what that holds.
+    Read(usize),
 }
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -11,7 +11,7 @@
 
 use gannetridge_dispatcher_core::message::{Envelope, Reply};
 use gannetridge_dispatcher_core::{
-    Action, Answer, CallId, Dispatcher, Event, Millis, RequestId, SendFailure,
+    Action, Answer, CallId, Dispatcher, Event, Millis, RequestId, SendFailure, StoreTable,
 };
 use gannetridge_net::Client;
 use local_sync::{mpsc::unbounded, oneshot};
@@ -20,7 +20,7 @@
 use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::decision_log;
-use crate::mailbox::{Message, Sender, StopFlag};
+use crate::mailbox::{Message, Sender, StopFlag, StoreState};
 use crate::metrics::Metrics;
 use crate::peer_api;
 use crate::platform_client::{PlatformClient, TargetOrder};
@@ -149,6 +149,15 @@
                 }
                 self.handle(event);
             }
+            Message::StoreState(tx) => {
+                let dispatcher = &self.parts.dispatcher;
+                // The task that follows a table is gone only when the process ends.
+                let _ = tx.send(StoreState {
+                    reading: dispatcher.store_reading(self.now()),
+                    configuration_version: dispatcher.store_version(StoreTable::Configuration),
+                    targets_version: dispatcher.store_version(StoreTable::Targets),
+                });
+            }
             Message::Inspect(inspect) => {
                 let counts = self.parts.dispatcher.counts(self.now());
                 let dropped = self.parts.log_dropped.dropped_lines() as u64;
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -86,6 +86,9 @@
         Decision::Configuration { version, from } => {
             info!(event = "configuration", version, from = from.as_str());
         }
+        Decision::StoreReading { reading, age_ms } => {
+            info!(event = "store-reading", reading = reading.as_str(), age_ms);
+        }
         Decision::Store { reachable } => info!(event = "store", reachable),
     }
 }
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use gannetridge_dispatcher_core::decision::StoreReading;
 use gannetridge_dispatcher_core::message::{Envelope, Reply};
 use gannetridge_dispatcher_core::{Answer, Dispatcher, Event, RequestId};
 use local_sync::{mpsc::unbounded, oneshot};
@@ -34,10 +35,23 @@
     },
     /// Something else that happened.
     Event(Event),
+    /// Asks how the store is to be read, and where the answer goes.
+    StoreState(oneshot::Sender<StoreState>),
     /// Asks to inspect the dispatcher.
     Inspect(Inspection),
 }
 
+/// How the platform's store is to be read.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreState {
+    /// Whether this host reads it at all.
+    pub reading: StoreReading,
+    /// The version up to which the configuration's table is known, 0 for none.
+    pub configuration_version: u64,
+    /// The version up to which the targets' table is known, 0 for none.
+    pub targets_version: u64,
+}
+
 /// Sends messages to the task that owns the dispatcher.
 pub type Sender = unbounded::Tx<Message>;
 
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -34,6 +34,7 @@
     attempt_took: Histogram<f64>,
     version: Gauge<u64>,
     store: Gauge<u64>,
+    store_age: Gauge<u64>,
     under_way: Gauge<u64>,
     leased: Gauge<u64>,
     known: Gauge<u64>,
@@ -74,6 +75,7 @@
             attempt_took: histogram("run_ms", "From a start to its end", &MS),
             version: gauge("configuration_version", "The version in force"),
             store: gauge("store_reachable", "1 while the store answers"),
+            store_age: gauge("store_age_ms", "Age of what is believed of the store"),
             under_way: gauge("jobs_under_way", "Jobs under way"),
             leased: gauge("targets_kept", "Targets that this host looks after"),
             known: gauge("targets_known", "Targets in the list"),
@@ -129,7 +131,8 @@
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
             | Decision::Peer { .. }
-            | Decision::SessionLost { .. } => {}
+            | Decision::SessionLost { .. }
+            | Decision::StoreReading { .. } => {}
         }
     }
 
@@ -154,6 +157,10 @@
         self.leased.record(counts.targets_leased as u64, &[]);
         self.attempts.record(counts.attempts as u64, &[]);
         self.peers.record(counts.peers_alive as u64, &[]);
+        // Without any answer there is no age.
+        if let Some(age_ms) = counts.store_age_ms {
+            self.store_age.record(age_ms, &[]);
+        }
         self.log_dropped.record(log_dropped, &[]);
     }
 
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -4,8 +4,11 @@
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use gannetridge_dispatcher_core::rules::store_readers::Freshness;
 use gannetridge_dispatcher_core::{Dispatcher, Safeguards};
-use gannetridge_net::{serve, Client, ClientLimits, HttpReply, HttpRequest, ServerLimits};
+use gannetridge_net::{
+    serve, BodyRate, Client, ClientLimits, HttpReply, HttpRequest, ServerLimits,
+};
 use gannetridge_process::mailbox::ask;
 use gannetridge_process::start::listen;
 use http::StatusCode;
@@ -20,15 +23,19 @@
 use crate::peer_api;
 use crate::platform_client::{PlatformClient, Table};
 use crate::reload::Reloader;
-use crate::settings::Settings;
+use crate::settings::{LinkSettings, Settings};
 use crate::signals::Signals;
-use crate::store_task::{announce, follow, pause_between_reads, Reachable};
+use crate::store_task::{announce, follow, pause_between_reads, Waits};
 
 /// How long the last answers have to leave the sockets. Chosen, not measured.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// How long setting up a connection to a target, a peer or the store may take.
 /// Chosen, not measured: half of what a peer's reply is awaited.
 const CONNECT: Duration = Duration::from_millis(150);
+/// The part of the link that one long body may take, such as a whole configuration: the
+/// rest is for heartbeats, renewals and callers. Chosen, not measured: a configuration of
+/// 1,500 routes, some 350 KB, takes 2.3 s at 2 Mbit/s, of 4 s that hosts have to apply it.
+const LONG_BODY_SHARE: f64 = 0.6;
 /// Once a peer's reply is overdue by this, other calls to it open connections of their
 /// own: peers reply at once, some 2 ms later. It has to leave time for a heartbeat within
 /// an owner lease (`rules/leases.rs`): of 553 ms with the users' bounds, a heartbeat lost
@@ -69,7 +76,7 @@
         tx,
         peers: Client::new(ClientLimits {
             suspect_after: Some(PEER_SUSPECT),
-            ..client_limits()
+            ..client_limits(&settings.link)
         }),
         platform_client,
         metrics: Metrics::new()?,
@@ -113,9 +120,13 @@
 
 /// Returns the bounds on the process's own calls.
 #[must_use]
-pub fn client_limits() -> ClientLimits {
+pub fn client_limits(link: &LinkSettings) -> ClientLimits {
+    let bytes_per_s = link.bytes_per_s() as f64 * LONG_BODY_SHARE;
     ClientLimits {
         connect: CONNECT,
+        body_rate: Some(BodyRate {
+            bytes_per_s: bytes_per_s as u64,
+        }),
         ..ClientLimits::default()
     }
 }
@@ -127,16 +138,13 @@
     tx: &Sender,
     dispatcher: &Dispatcher,
 ) {
-    let reachable = Reachable::new(tx.clone());
     for table in [Table::Configuration, Table::Targets, Table::Hosts] {
         let pause = pause_between_reads(table, settings.bounds.drain_ms);
-        let following = follow(
-            platform_client.clone(),
-            table,
-            pause,
-            tx.clone(),
-            reachable.clone(),
-        );
+        let waits = Waits {
+            between: pause,
+            told_ms: Freshness::new(settings.bounds.drain_ms).ask,
+        };
+        let following = follow(platform_client.clone(), table, waits, tx.clone());
         monoio::spawn(following);
     }
     let info = dispatcher.info().clone();
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -37,6 +37,9 @@
     /// The processor time that the process has.
     #[serde(default)]
     pub processor: ProcessorSettings,
+    /// The host's link.
+    #[serde(default)]
+    pub link: LinkSettings,
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: BoundsSettings,
@@ -115,6 +118,30 @@
     }
 }
 
+/// The host's link: long messages leave a part of it to short ones.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct LinkSettings {
+    /// Its bandwidth, in megabits a second.
+    pub mbps: f64,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self { mbps: 1_000.0 }
+    }
+}
+
+impl LinkSettings {
+    /// Returns its bandwidth in bytes a second.
+    #[must_use]
+    pub fn bytes_per_s(&self) -> u64 {
+        /// Bytes in a megabit.
+        const MEGABIT: f64 = 125_000.0;
+        (self.mbps * MEGABIT) as u64
+    }
+}
+
 /// What is logged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -8,15 +8,15 @@
 //! broke the bound, none of 8 since. The targets' table is read four times in the time
 //! in which a leaving target has to be known, which halved the calls.
 
-use std::cell::Cell;
-use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use gannetridge_dispatcher_core::decision::StoreReading;
 use gannetridge_dispatcher_core::message::HostInfo;
-use gannetridge_dispatcher_core::{Event, Millis};
+use gannetridge_dispatcher_core::{Event, Millis, StoreTable};
+use gannetridge_process::mailbox::ask;
 use tracing::{info, warn};
 
-use crate::mailbox::{Message, Sender};
+use crate::mailbox::{Message, Sender, StoreState};
 use crate::platform_client::{PlatformClient, Row, Rows, StoreError, Table};
 
 /// How long the store may wait for a change before it answers, in ms: a store that
@@ -32,37 +32,13 @@
 /// The longest pause between reads of the targets' table, in ms: rarer reads would
 /// save little. Chosen, not measured.
 const LONGEST_PAUSE_MS: Millis = 750;
+/// Between looks at whether this host reads the store, while others tell it. Chosen, not
+/// measured: a part of the time after which what they told is stale.
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
 /// The host's row is written again after this: it may have been lost. Chosen, not
 /// measured.
 const WRITE_AGAIN: Duration = Duration::from_secs(3_600);
 
-/// Whether the store answers, as the tasks that read it see it; they tell the
-/// dispatcher when that changes.
-#[derive(Clone)]
-pub struct Reachable {
-    tx: Sender,
-    now: Rc<Cell<bool>>,
-}
-
-impl Reachable {
-    /// Takes the store to answer until a read fails.
-    #[must_use]
-    pub fn new(tx: Sender) -> Self {
-        Self {
-            tx,
-            now: Rc::new(Cell::new(true)),
-        }
-    }
-
-    fn set(&self, reachable: bool) {
-        if self.now.replace(reachable) != reachable {
-            // The dispatcher's task is gone only when the process ends.
-            let event = Event::StoreReachable(reachable);
-            let _ = self.tx.send(Message::Event(event));
-        }
-    }
-}
-
 /// A pause that grows from try to try, with some chance in it so that hosts don't try
 /// all at once.
 struct RetryPause(Millis);
@@ -96,6 +72,9 @@
     version: Option<u64>,
     /// Whether the last read was answered.
     answered: bool,
+    /// The store no longer knows, or never told in a form that can be read, what changed
+    /// after this version.
+    gone: Option<u64>,
 }
 
 /// A read of a table.
@@ -112,6 +91,19 @@
     },
 }
 
+impl Read {
+    /// Returns the read with a bound on how long the store may wait.
+    fn waiting_at_most(self, longest_ms: Millis) -> Self {
+        match self {
+            Self::Whole => Self::Whole,
+            Self::Changes { after, wait_ms } => Self::Changes {
+                after,
+                wait_ms: wait_ms.min(longest_ms),
+            },
+        }
+    }
+}
+
 impl Progress {
     /// Returns what to read next. Where the last read had no answer the store
     /// may be back at any moment: this one is to show it at once.
@@ -135,25 +127,48 @@
     pub fn failed(&mut self, error: &StoreError) {
         self.answered = false;
         if matches!(error, StoreError::HistoryGone | StoreError::Unreadable(_)) {
+            self.gone = self.version.max(self.gone);
             self.version = None;
         }
     }
+
+    /// Records that other hosts told what changed up to a version.
+    pub fn told(&mut self, version: u64) {
+        if version > 0 && Some(version) > self.gone {
+            self.version = self.version.max(Some(version));
+        }
+    }
 }
 
-/// Follows a table for as long as the process lives.
-///
-/// `between` is the time between two reads that went well.
-pub async fn follow(
-    platform_client: PlatformClient,
-    table: Table,
-    between: Duration,
-    tx: Sender,
-    reachable: Reachable,
-) {
+/// How long a table's reads wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// Between two reads that went well.
+    pub between: Duration,
+    /// How long the store may wait for a change, in ms, where other hosts are told what was
+    /// read: they have to know soon that nothing changed.
+    pub told_ms: Millis,
+}
+
+/// Follows a table for as long as the process lives, while nobody else tells what it holds.
+pub async fn follow(platform_client: PlatformClient, table: Table, waits: Waits, tx: Sender) {
     let mut pause = RetryPause(STORE_RETRY_MS.0);
     let mut progress = Progress::default();
     loop {
-        let next = progress.next();
+        let Ok(state) = ask(&tx, Message::StoreState).await else {
+            return;
+        };
+        if state.reading == StoreReading::Told {
+            monoio::time::sleep(LOOK_AGAIN).await;
+            continue;
+        }
+        progress.told(known_version(&state, table));
+        let next = progress.next().waiting_at_most(match state.reading {
+            StoreReading::Alone => FOLLOW_WAIT_MS,
+            StoreReading::Reader | StoreReading::Told => waits.told_ms,
+            StoreReading::Stale => 0,
+        });
+        let asked = Instant::now();
         let read = match next {
             Read::Whole => (platform_client.read_table)(table).await,
             Read::Changes { after, wait_ms } => {
@@ -162,20 +177,20 @@
         };
         match read {
             Ok(rows) => {
-                reachable.set(true);
                 pause.reset();
-                let whole = next == Read::Whole;
                 progress.answered(rows.version);
-                if deliver(&tx, table, rows, whole).is_err() {
+                if deliver(&tx, table, rows, next == Read::Whole, asked).is_err() {
                     return;
                 }
-                monoio::time::sleep(between).await;
+                let stale = state.reading == StoreReading::Stale;
+                let least = if stale { LOOK_AGAIN } else { Duration::ZERO };
+                monoio::time::sleep(waits.between.max(least)).await;
             }
             Err(error) => {
                 info!(event = "store-read-failed", ?table, %error, after = progress.version);
                 progress.failed(&error);
-                if error != StoreError::HistoryGone {
-                    reachable.set(false);
+                if error != StoreError::HistoryGone && reachable(&tx, false).is_err() {
+                    return;
                 }
                 pause.wait().await;
             }
@@ -183,10 +198,34 @@
     }
 }
 
+/// Returns the version up to which a table is known by what other hosts told, 0 for none.
+fn known_version(state: &StoreState, table: Table) -> u64 {
+    match table {
+        Table::Configuration => state.configuration_version,
+        Table::Targets => state.targets_version,
+        Table::Hosts => 0,
+    }
+}
+
 /// The dispatcher's task has ended.
 struct Closed;
 
-fn deliver(tx: &Sender, table: Table, rows: Rows, whole: bool) -> Result<(), Closed> {
+/// Tells the dispatcher whether the store answers.
+fn reachable(tx: &Sender, reachable: bool) -> Result<(), Closed> {
+    let event = Event::StoreReachable(reachable);
+    tx.send(Message::Event(event)).map_err(|_| Closed)
+}
+
+/// Tells the dispatcher what was read of a table that was asked for at `asked`.
+fn deliver(
+    tx: &Sender,
+    table: Table,
+    rows: Rows,
+    whole: bool,
+    asked: Instant,
+) -> Result<(), Closed> {
+    reachable(tx, true)?;
+    let version = rows.version;
     let mut events = Vec::new();
     if whole && table == Table::Targets {
         events.push(Event::TargetsRead(rows.into_targets()));
@@ -208,6 +247,16 @@
             events.push(Event::HostsRead(hosts));
         }
     }
+    let answered = match table {
+        Table::Configuration => Some(StoreTable::Configuration),
+        Table::Targets => Some(StoreTable::Targets),
+        Table::Hosts => None,
+    };
+    events.extend(answered.map(|table| Event::StoreAnswered {
+        table,
+        version,
+        age_ms: asked.elapsed().as_millis() as Millis,
+    }));
     for event in events {
         tx.send(Message::Event(event)).map_err(|_| Closed)?;
     }
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -9,8 +9,9 @@
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, PeerState, Rejection, StopReason,
-    TargetBelief,
+    StoreReading, TargetBelief,
 };
+use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
 use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Safeguards, Settings};
 use serde_json::Value;
@@ -113,6 +114,10 @@
             from: ConfigurationSource::Store,
         },
         Decision::Store { reachable: false },
+        Decision::StoreReading {
+            reading: StoreReading::Stale,
+            age_ms: Some(2_300),
+        },
     ];
     notes.extend(EndCause::ALL.iter().map(|cause| job_ended(*cause)));
     let ends = [
@@ -188,7 +193,11 @@
         traffic.count(way, "kind");
     }
     traffic.publish();
-    metrics.observe(&dispatcher().counts(0), 5);
+    let counts = Counts {
+        store_age_ms: Some(1_200),
+        ..dispatcher().counts(0)
+    };
+    metrics.observe(&counts, 5);
     let text = String::from_utf8(metrics.text().unwrap()).unwrap();
     insta::assert_snapshot!("metrics", text);
 }
@@ -223,6 +232,7 @@
         TargetBelief,
         BeliefSource,
         PeerState,
+        StoreReading,
         ConfigurationSource
     );
     insta::assert_snapshot!("texts", text);
