Tell hosts heard of within 8 s; hold the wait for first targets by a test

With 8 s, and counted once the start is that long ago: 476 and 765. The test of first targets now plays a late job beside one on time.

--- a/crates/dispatcher-core/src/rules/membership.rs
+++ b/crates/dispatcher-core/src/rules/membership.rs
@@ -8,18 +8,18 @@
 //!
 //! **Inputs.** For how long the hashes have differed, in ms; whether the peer came by a
 //! seed's address; when the whole list was last told. **Measured.** Where 4 hosts restart
-//! in a second, each costs each other host 252 bytes of lists among 150 hosts and 74 among
-//! 300; with whole lists wherever hashes differed 1,669 and 3,415 (`tests/membership.rs`, a
-//! network without delay). **Gives up.** Hosts that missed news hear of it
+//! in a second, each costs each other host 476 bytes of lists among 150 hosts and 765 among
+//! 300; with whole lists wherever hashes differed, and all hosts heard at once, 1,669 and
+//! 3,415 (`tests/membership.rs`, a network without delay). **Gives up.** Hosts that missed news hear of it
 //! some seconds later, if neither the store nor a third host told them.
 
 use crate::Millis;
 
 /// The most hosts that are told where the whole list isn't. Chosen, not measured.
 pub const LISTED_AT_MOST: usize = 16;
-/// Hosts that were heard of within this are told, in ms: more than two of the longest
+/// Hosts that were heard of within this are told, in ms: more than one of the longest
 /// pauses between heartbeats ([`super::heartbeat_intervals`]).
-const RECENT_MS: Millis = 16_000;
+const RECENT_MS: Millis = 8_000;
 /// Hashes that differ for this long show that news was missed, in ms: news reach every
 /// host within one of the longest pauses between heartbeats. Chosen, not measured.
 const MISSED_NEWS_MS: Millis = 8_000;
--- a/crates/dispatcher-core/tests/answers.rs
+++ b/crates/dispatcher-core/tests/answers.rs
@@ -232,9 +232,12 @@
         rig.submit(1, ID, vec![step(1, 7_000, 200)], 3_000);
         rig.pass(600);
         assert_eq!(rig.answer_to(1), None);
-        let (call, _) = rig.renewals().pop().expect("the target is being acquired");
+        rig.submit(2, "5c0e7a21d94b36f9", vec![step(1, 7_000, 200)], 3_000);
+        rig.now += 10;
+        let renewal = rig.renewals().pop();
+        let (call, _) = renewal.expect("the target is being acquired");
         rig.listing(call, &[], &[]);
-        assert_eq!(rig.starts().len(), 1, "late, but served");
+        assert_eq!(rig.starts().len(), 2, "one of them late, but served");
     }
 );
 
--- a/crates/dispatcher-core/tests/membership.rs
+++ b/crates/dispatcher-core/tests/membership.rs
@@ -139,7 +139,7 @@
 /// Restarts some hosts in turn; returns the bytes of lists for each restart and host.
 fn bytes_of_a_restart(count: usize, restarts: usize) -> usize {
     let mut network = Network::start(count);
-    network.pass(7_000);
+    network.pass(8_200);
     (network.lists, network.list_bytes) = (0, 0);
     for host in 0..restarts {
         network.restart(1 + host);
@@ -151,7 +151,7 @@
 }
 
 // Measured here, in bytes for each other host and restart, four restarts a second: 1,669
-// among 150 hosts and 3,415 among 300 with whole lists wherever hashes differ, 252 and 74
+// among 150 hosts and 3,415 among 300 with whole lists wherever hashes differ, 476 and 765
 // with what was heard of lately.
 case!(
     a_restart_costs_each_of_150_hosts_a_bounded_number_of_bytes,
