--- a/crates/dispatcher-core/src/dispatcher/store.rs
+++ b/crates/dispatcher-core/src/dispatcher/store.rs
@@ -37,8 +37,9 @@
     }
 
     pub(super) fn store_reachable(&mut self, now: Millis, reachable: bool) {
-        if self.targets.is_store_reachable() != reachable {
-            self.targets.store_reachable(now, reachable);
+        let changed = self.targets.is_store_reachable() != reachable;
+        self.targets.store_reachable(now, reachable);
+        if changed {
             self.record(Decision::Store { reachable });
         }
     }
--- a/crates/dispatcher-core/src/peers/mod.rs
+++ b/crates/dispatcher-core/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! for `choice`, peer choice. It relies on the dispatcher to send what is due.
 
 mod choice;
+mod demand;
 mod membership;
 mod outbox;
 mod owner_lease;
--- a/crates/dispatcher-core/src/peers/peer.rs
+++ b/crates/dispatcher-core/src/peers/peer.rs
@@ -6,15 +6,15 @@
 use gannetridge_wire::Name;
 
 use crate::message::{
-    AttemptEnd, AttemptId, Demand, EchoedClock, FreeResources, Heartbeat, HeartbeatReply, HostInfo,
-    Reply, TaskOrder,
+    AttemptEnd, AttemptId, EchoedClock, FreeResources, Heartbeat, HeartbeatReply, HostInfo, Reply,
+    TaskOrder,
 };
 use crate::rules::heartbeat_intervals::HeartbeatIntervals;
 use crate::rules::liveness::Heard;
-use crate::rules::peer_choice::{aged, DEMAND_TTL_MS};
 use crate::targets::OwnerSession;
 use crate::Millis;
 
+use super::demand::HeardDemand;
 use super::outbox::Outbox;
 use super::owner_lease::OwnerLease;
 use super::schedule::Schedule;
@@ -28,23 +28,6 @@
     pub report: bool,
 }
 
-/// A peer's demand.
-#[derive(Clone, Debug)]
-struct HeardDemand {
-    demand: Demand,
-    heard: Millis,
-    until: Millis,
-}
-
-/// A peer's demand as it is at a time.
-#[derive(Clone, Copy, Debug)]
-pub struct OpenDemand<'a> {
-    /// What is demanded.
-    pub demand: &'a Demand,
-    /// Its priority by now.
-    pub priority: crate::message::Priority,
-}
-
 /// What is known of one other host; times in ms of this host's clock.
 #[derive(Debug)]
 pub struct Peer {
@@ -82,7 +65,7 @@
     leaving: bool,
     /// The targets whose leases it holds.
     leased: HashSet<Name>,
-    demand: Option<HeardDemand>,
+    pub(super) demand: Option<HeardDemand>,
     /// How long the first heartbeat to an incarnation of it waits, in ms.
     first_wait: Millis,
     schedule: Schedule,
@@ -272,43 +255,6 @@
         self.schedule.ask_clock(now, pause_ms)
     }
 
-    /// Records its demand, or that it has none.
-    pub fn set_demand(&mut self, now: Millis, demand: Option<Demand>) {
-        self.demand = demand.map(|demand| HeardDemand {
-            demand,
-            heard: now,
-            until: now + DEMAND_TTL_MS,
-        });
-    }
-
-    /// Returns whether it has a demand, or had one that isn't looked at yet.
-    #[must_use]
-    pub fn has_demand(&self) -> bool {
-        self.demand.is_some()
-    }
-
-    /// Returns its demand if that is open and tasks may be handed to it.
-    #[must_use]
-    pub fn open_demand(&self, now: Millis) -> Option<OpenDemand<'_>> {
-        let heard = self.demand.as_ref()?;
-        let open = heard.until > now && self.takes_tasks(now);
-        open.then(|| OpenDemand {
-            demand: &heard.demand,
-            priority: aged(&heard.demand.priority, now.saturating_sub(heard.heard)),
-        })
-    }
-
-    /// Takes one task off its demand: resources were reserved for it. The next
-    /// reservation after the last one waits until the peer advertises again.
-    pub fn serve_demand(&mut self) {
-        if let Some(heard) = &mut self.demand {
-            heard.demand.tasks = heard.demand.tasks.saturating_sub(1);
-            if heard.demand.tasks == 0 {
-                self.demand = None;
-            }
-        }
-    }
-
     /// Returns whether it is believed to have resources of any pool free.
     pub(super) fn may_fit(&self, resources: &crate::spec::Resources) -> bool {
         let mut free = self.free.iter();
--- a/crates/dispatcher-core/src/store_news.rs
+++ b/crates/dispatcher-core/src/store_news.rs
@@ -3,7 +3,8 @@
 //!
 //! [`StoreNews`] owns the versions, their ages and the latest changes of the list of
 //! targets, so that it can tell others. It relies on the dispatcher to ask
-//! when [`StoreNews::take_due_ask`] says so and on [`crate::rules::store_readers`] for who reads.
+//! when [`StoreNews::take_due_ask`] says so, and on [`crate::rules::store_readers`] for who
+//! reads.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
@@ -145,6 +146,10 @@
         match table {
             StoreTable::Configuration => self.configuration.advance(version, at),
             StoreTable::Targets => {
+                if self.targets.at.is_none() {
+                    // What went before isn't known: only the whole list tells of it.
+                    self.kept_after = version;
+                }
                 self.targets.advance(version, at);
                 for change in std::mem::take(&mut self.unversioned) {
                     self.changes.push_back(Change { version, change });
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -24,6 +24,9 @@
     reachable: bool,
     /// When it last came back; 0 if it was never lost.
     back_at: Millis,
+    /// Whether the list is settled at the host that told it, if another one did since this
+    /// host last read.
+    told_settled: Option<bool>,
 }
 
 impl Default for StoreView {
@@ -31,6 +34,7 @@
         Self {
             reachable: true,
             back_at: 0,
+            told_settled: None,
         }
     }
 }
@@ -39,7 +43,8 @@
     /// Returns whether a target that isn't listed is gone. With the store out, or
     /// back only now, its silence in the list says nothing.
     pub(super) fn list_is_settled(&self, now: Millis) -> bool {
-        self.reachable && self.back_at + BACK_AFTER_MS <= now
+        let read_settled = self.reachable && self.back_at + BACK_AFTER_MS <= now;
+        self.told_settled.unwrap_or(read_settled)
     }
 }
 
@@ -50,6 +55,7 @@
             self.store.back_at = now;
         }
         self.store.reachable = reachable;
+        self.store.told_settled = None;
     }
 
     /// Returns whether a target that isn't listed is gone.
@@ -61,10 +67,7 @@
     /// Records whether a target that isn't listed is gone, as another host told that
     /// reads the store.
     pub fn told_settled(&mut self, settled: bool) {
-        self.store = StoreView {
-            reachable: settled,
-            back_at: 0,
-        };
+        self.store.told_settled = Some(settled);
     }
 
     /// Returns whether the store answers.
--- a/crates/dispatcher-core/tests/store_news.rs
+++ b/crates/dispatcher-core/tests/store_news.rs
@@ -264,3 +264,32 @@
         assert_eq!(rig.host.store_version(StoreTable::Configuration), 10);
     }
 );
+
+case!(a_host_that_only_just_knows_the_list_tells_it_whole, {
+    let mut rig = Rig::new();
+    rig.event(Event::TargetsRead(vec![target("a", 16)]));
+    answered(&mut rig, 10);
+    // Whoever knew version 9 may know targets that are gone since.
+    rig.peer_asks(1, Request::StoreNews { after: 9 });
+    let ReplyBody::StoreNews(Some(news)) = &rig.replies[0].1.body else {
+        panic!("it tells");
+    };
+    assert!(matches!(&news.list, ListNews::Whole(entries) if entries.len() == 1));
+});
+
+case!(
+    what_is_told_while_the_store_turns_a_host_away_is_believed,
+    {
+        let mut rig = told_host();
+        rig.event(Event::StoreReachable(false));
+        let gone = ListNews::Changes(vec![TargetChange::Gone("a".into())]);
+        let mut unsettled = news(11, 0, gone);
+        unsettled.settled = false;
+        tell_next(&mut rig, unsettled);
+        rig.pass(100);
+        assert_eq!(known(&rig), 1, "entries may come back");
+        tell_next(&mut rig, news(12, 0, ListNews::Changes(Vec::new())));
+        rig.pass(100);
+        assert_eq!(known(&rig), 0);
+    }
+);
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -25,6 +25,7 @@
 use tracing::debug;
 
 use crate::body::{body_length, BoundedHead, PartOfBody, ReadError};
+use crate::body_rate::BodyRate;
 use crate::pool::{OpenCall, Pool};
 
 /// A connection on which nothing comes is probed after this, and again after as long;
@@ -54,27 +55,6 @@
     pub body_rate: Option<BodyRate>,
 }
 
-/// How fast long bodies are read: what comes slower than the link could bring it leaves
-/// room on the link for short messages, since the sender waits once the receiver's window
-/// is full.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyRate {
-    /// Bytes a second.
-    pub bytes_per_s: u64,
-}
-
-/// The first bytes of a body, that are read as they come: most replies are shorter.
-const FREE_BYTES: usize = 32 * 1024;
-
-impl BodyRate {
-    /// Returns how long to wait after a part of a body, given what came before it.
-    fn pause_after(self, before: usize, part: usize) -> Option<Duration> {
-        let counted = (before + part).saturating_sub(before.max(FREE_BYTES));
-        let micros = counted as u64 * 1_000_000 / self.bytes_per_s.max(1);
-        (micros > 0).then(|| Duration::from_micros(micros))
-    }
-}
-
 // All chosen, not measured.
 impl Default for ClientLimits {
     fn default() -> Self {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,12 +5,14 @@
 //! client tells a request that was never sent from one whose fate is unknown.
 
 pub mod body;
+mod body_rate;
 pub mod client;
 pub mod message;
 mod pool;
 pub mod runtime;
 pub mod server;
 
-pub use client::{BodyRate, CallError, Client, ClientLimits};
+pub use body_rate::BodyRate;
+pub use client::{CallError, Client, ClientLimits};
 pub use message::{HttpReply, HttpRequest};
 pub use server::{bind, serve, ServerLimits};
