Start nothing in halls that the operator empties

Change: the dispatcher knows draining halls, as the product's own interface does. They come with the configuration's table, read whole or by changes, and are told by hosts that read the store in one message with the list of targets; each state belongs to a version of the store, and none goes back to an older one. A draining hall's targets are usable for no owner; hosts there advertise to halls that serve. Ruled out: a field more in the old message, which earlier releases couldn't read.

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -131,6 +131,19 @@
         /// Time until they are over for certain.
         over_in_ms: Millis,
     },
+    /// A hall began or ended to drain, as this host knows it.
+    HallDraining {
+        /// The hall.
+        hall: Name,
+        /// Whether it is draining.
+        draining: bool,
+        /// The store's version up to which the draining halls are known.
+        version: u64,
+        /// The age of what this host believes of the store, in ms, if it knows anything.
+        age_ms: Option<Millis>,
+        /// Where the news came from.
+        from: ConfigurationSource,
+    },
     /// A configuration is in force.
     Configuration {
         /// Its version.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -43,6 +43,8 @@
         PassedOver = "passed over",
         /// No known target could ever run one of its tasks.
         TooLarge = "too-large",
+        /// Only targets in draining halls could run one of its tasks.
+        Draining = "draining",
         /// The caller is gone.
         CallerGone = "caller-gone",
         /// The caller cancelled it.
@@ -116,6 +118,10 @@
     TargetBelief {
         /// The list shows it as leaving.
         Leaving = "leaving",
+        /// Its hall is draining.
+        HallDraining = "hall draining",
+        /// Its hall no longer drains.
+        HallServing = "hall serving",
         /// The list doesn't show it.
         NotListed = "not listed",
         /// It is forgotten: not listed, and nothing can run there.
@@ -140,6 +146,8 @@
     BeliefSource {
         /// The platform's list of targets.
         List = "list",
+        /// The operator.
+        Operator = "operator",
         /// A renewal of its lease.
         Renewal = "hold",
         /// A start.
@@ -168,11 +176,11 @@
 }
 
 named! {
-    /// Where a configuration came from.
+    /// Where a configuration, or news of draining halls, came from.
     ConfigurationSource {
         /// The platform's store.
         Store = "store",
-        /// A peer with a higher version.
+        /// A peer that knew more.
         Peer = "peer",
     }
 }
--- a/crates/dispatcher-core/src/dispatcher/caller_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/caller_requests.rs
@@ -6,11 +6,12 @@
 use gannetridge_wire::Name;
 
 use crate::action::{Action, Answer};
-use crate::decision::{Decision, Rejection};
+use crate::decision::{Decision, EndCause, Rejection};
 use crate::event::{RequestId, Submit};
 use crate::jobs::Checked;
 use crate::rules::admission::{self, Addressed, Rejected};
 use crate::rules::giving_up::refused_when_stopping;
+use crate::targets::Runnable;
 use crate::Millis;
 
 use super::Dispatcher;
@@ -52,14 +53,17 @@
             version: self.version(),
         };
         self.jobs.submit(now, checked);
-        self.refuse_if_too_large(now, &id);
+        self.end_if_not_runnable(now, &id);
     }
 
-    /// Ends a job that no known target could ever run.
-    fn refuse_if_too_large(&mut self, now: Millis, id: &Name) {
-        let mut orders = self.jobs.first_orders(id).into_iter();
-        if orders.any(|order| !self.targets.could_run(&order)) {
-            self.jobs.too_large(now, id);
+    /// Ends a job that no known target could ever run, or only targets of draining halls.
+    fn end_if_not_runnable(&mut self, now: Millis, id: &Name) {
+        for order in self.jobs.first_orders(id) {
+            match self.targets.runnable(&order) {
+                Runnable::Yes => {}
+                Runnable::InDrainingHalls => return self.jobs.end(now, id, EndCause::Draining),
+                Runnable::Nowhere => return self.jobs.end(now, id, EndCause::TooLarge),
+            }
         }
     }
 
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 //! [`Dispatcher::next_timer`].
 
 mod caller_requests;
+mod draining;
 mod owner_leases;
 mod peer_calls;
 mod peer_requests;
@@ -24,6 +25,7 @@
 use crate::jobs::Jobs;
 use crate::message::HostInfo;
 use crate::peers::Peers;
+use crate::rules::draining::DrainingHalls;
 use crate::rules::leases::Times;
 use crate::rules::store_readers::Freshness;
 use crate::settings::{BoundsError, Settings};
@@ -49,6 +51,8 @@
     pub attempts: usize,
     /// Peers that are taken to live.
     pub peers_alive: usize,
+    /// Halls that are draining.
+    pub halls_draining: usize,
     /// The age of what is believed of the platform's store, in ms, if anything is known.
     pub store_age_ms: Option<Millis>,
 }
@@ -63,6 +67,7 @@
     targets: TargetLeases,
     peers: Peers,
     store_news: StoreNews,
+    draining: DrainingHalls,
     /// How this host learns what the store holds, as last logged.
     noted_reading: Option<StoreReading>,
     calls: PeerCalls,
@@ -91,6 +96,7 @@
             jobs: Jobs::new(settings.safeguards),
             targets: TargetLeases::new(&settings, times),
             peers: Peers::new(own.clone(), &settings.seeds, times),
+            draining: DrainingHalls::default(),
             noted_reading: None,
             store_news: StoreNews::new(Freshness::new(settings.bounds.drain_ms)),
             settings,
@@ -135,6 +141,7 @@
             targets_leased: targets.leased,
             attempts: targets.attempts,
             peers_alive: self.peers.alive(now),
+            halls_draining: self.draining.halls().len(),
             store_age_ms: self.store_news.age(now),
         }
     }
@@ -203,6 +210,10 @@
                 let at = now.saturating_sub(age_ms);
                 self.store_news.known(table, version, at);
             }
+            Event::DrainingHallsRead { version, halls } => self.draining_read(now, version, halls),
+            Event::DrainingHallsChanged { version, changes } => {
+                self.draining_changed(now, version, &changes);
+            }
             Event::StoreReachable(reachable) => self.store_reachable(now, reachable),
             Event::ConfigurationRead(configuration) => {
                 self.use_configuration(configuration, ConfigurationSource::Store)
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -116,6 +116,9 @@
             }
             Request::Configuration => ReplyBody::Configuration(self.configuration.clone()),
             Request::StoreNews { after } => ReplyBody::StoreNews(self.tell_store_news(now, after)),
+            Request::PlatformNews { after } => {
+                ReplyBody::PlatformNews(self.tell_platform_news(now, after))
+            }
         }
     }
 
--- a/crates/dispatcher-core/src/dispatcher/store.rs
+++ b/crates/dispatcher-core/src/dispatcher/store.rs
@@ -5,7 +5,7 @@
 
 use crate::decision::{Decision, StoreReading};
 use crate::event::{SendFailure, StoreTable};
-use crate::message::{ListNews, Reply, ReplyBody, Request, StoreNewsReply};
+use crate::message::{ListNews, PlatformNewsReply, Reply, ReplyBody, Request, StoreNewsReply};
 use crate::rules::store_readers::{readers, to_ask};
 use crate::store_news::OwnState;
 use crate::Millis;
@@ -75,7 +75,7 @@
         if let Some(name) = asked {
             let after = self.store_news.version(StoreTable::Targets);
             let purpose = Purpose::StoreNews { asked: now };
-            self.call_peer(now, &name, Request::StoreNews { after }, purpose);
+            self.call_peer(now, &name, Request::PlatformNews { after }, purpose);
         }
     }
 
@@ -88,6 +88,14 @@
     }
 
     /// Returns what a peer is told that asks for news of the store.
+    pub(super) fn tell_platform_news(&self, now: Millis, after: u64) -> Option<PlatformNewsReply> {
+        Some(PlatformNewsReply {
+            store: self.tell_store_news(now, after)?,
+            draining: self.tell_draining(),
+        })
+    }
+
+    /// Returns what a peer is told that asks for news of the list of targets.
     pub(super) fn tell_store_news(&self, now: Millis, after: u64) -> Option<StoreNewsReply> {
         let settled = self.targets.list_is_settled(now) && !self.store_news.is_stale(now);
         let in_force = self.version();
@@ -102,10 +110,16 @@
         asked: Millis,
         reply: Result<Reply, SendFailure>,
     ) {
-        let news = match body(reply) {
-            Some(ReplyBody::StoreNews(Some(news))) => news,
+        let PlatformNewsReply {
+            store: news,
+            draining,
+        } = match body(reply) {
+            Some(ReplyBody::PlatformNews(Some(news))) => news,
             _ => return self.store_news.no_news(),
         };
+        if let Some(draining) = draining {
+            self.draining_told(now, draining);
+        }
         if self.store_news.told(asked, &news) {
             match news.list.clone() {
                 ListNews::Whole(entries) => self.targets.list_read(now, entries),
@@ -116,7 +130,11 @@
         if let Some(peer) = self.peers.get_mut(name) {
             peer.version = peer.version.max(news.in_force);
         }
-        if news.in_force == self.version() {
+        // Where reading goes on from the version that was told, no draining hall may be
+        // missing before it.
+        let halls_known = self.draining.version() >= Some(news.configuration_version)
+            || !self.settings.safeguards.draining_is_told;
+        if news.in_force == self.version() && halls_known {
             self.store_news.told_configuration(asked, &news);
         }
         self.fetch_configuration(now, name);
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -55,6 +55,7 @@
         let starting = self.is_starting(now);
         self.jobs.tick(now, starting);
         self.assign(now);
+        self.end_where_all_drain(now);
         self.targets.tick(now);
         self.send_heartbeats(now);
         self.ask_for_store_news(now);
--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -56,6 +56,15 @@
     Gone(Name),
 }
 
+/// That a hall is draining, or is no longer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HallChange {
+    /// The hall.
+    pub hall: Name,
+    /// Whether it is draining: it gets no new tasks.
+    pub draining: bool,
+}
+
 /// The end of an attempt as its target lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedEnd {
@@ -206,6 +215,20 @@
     TargetsChanged(Vec<TargetChange>),
     /// The whole list of targets was read.
     TargetsRead(Vec<TargetEntry>),
+    /// The draining halls were read, all of them.
+    DrainingHallsRead {
+        /// The store's version up to which they are known.
+        version: u64,
+        /// The halls.
+        halls: Vec<Name>,
+    },
+    /// Halls began or ended to drain, in order; none may have.
+    DrainingHallsChanged {
+        /// The store's version up to which they are known.
+        version: u64,
+        /// What changed.
+        changes: Vec<HallChange>,
+    },
     /// The platform's store was lost or is back.
     StoreReachable(bool),
     /// A table is known up to a version; what changed came before this.
--- a/crates/dispatcher-core/src/jobs/ending.rs
+++ b/crates/dispatcher-core/src/jobs/ending.rs
@@ -78,12 +78,16 @@
         }
     }
 
-    /// Ends a job of which a task fits no target.
-    pub fn too_large(&mut self, now: Millis, id: &Name) {
-        self.end(now, id, EndCause::TooLarge);
+    /// Returns the jobs of which tasks wait and nothing runs.
+    #[must_use]
+    pub fn standing(&self) -> Vec<Name> {
+        let waiting = self.ready.iter().map(|ready| &ready.job);
+        let standing = waiting.filter(|id| !self.jobs[*id].runs());
+        standing.cloned().collect()
     }
 
-    pub(super) fn end(&mut self, now: Millis, id: &Name, cause: EndCause) {
+    /// Ends a job.
+    pub fn end(&mut self, now: Millis, id: &Name, cause: EndCause) {
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
--- a/crates/dispatcher-core/src/jobs/job.rs
+++ b/crates/dispatcher-core/src/jobs/job.rs
@@ -145,12 +145,17 @@
             deadline: self.deadline,
             objective_ms: self.objective_ms,
             may_have_begun: self.may_have_begun(),
-            runs: self.tasks.iter().any(|task| task.state.is_running()),
+            runs: self.runs(),
             passed_over: late && on_time_waits,
             starting,
         }
     }
 
+    /// Returns whether an attempt runs, or a peer was asked to start one.
+    pub(super) fn runs(&self) -> bool {
+        self.tasks.iter().any(|task| task.state.is_running())
+    }
+
     /// Returns the estimates of the tasks that aren't done, in ms.
     pub(super) fn open_estimates(&self) -> impl Iterator<Item = Millis> + '_ {
         let open = self.tasks.iter();
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -215,11 +215,17 @@
     /// Asks for the configuration.
     #[serde(rename = "Queues")]
     Configuration,
-    /// Asks what changed in the platform's store.
+    /// Asks what changed in the list of targets. Hosts of earlier releases ask this; the
+    /// draining halls aren't told with it.
     StoreNews {
         /// The version up to which the sender knows the list of targets, 0 for none.
         after: u64,
     },
+    /// Asks what changed in the platform's store.
+    PlatformNews {
+        /// The version up to which the sender knows the list of targets, 0 for none.
+        after: u64,
+    },
 }
 
 impl Request {
@@ -234,7 +240,7 @@
             Self::Stop { .. } => "stop",
             Self::Ended(_) => "ended",
             Self::Configuration => "queues",
-            Self::StoreNews { .. } => "store-news",
+            Self::StoreNews { .. } | Self::PlatformNews { .. } => "store-news",
         }
     }
 }
@@ -279,8 +285,10 @@
     /// The request was carried out.
     #[serde(rename = "Noted")]
     Acknowledged,
-    /// What changed in the platform's store; none if the host doesn't know.
+    /// What changed in the list of targets; none if the host doesn't know.
     StoreNews(Option<StoreNewsReply>),
+    /// What changed in the platform's store; none if the host doesn't know.
+    PlatformNews(Option<PlatformNewsReply>),
     /// Nothing was done: the request is of an earlier incarnation or session,
     /// or the sender's owner lease has expired.
     Stale,
@@ -303,6 +311,24 @@
     pub list: ListNews,
 }
 
+/// What a host knows of the platform's store, the draining halls among it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlatformNewsReply {
+    /// What it knows of the list of targets and the configuration.
+    pub store: StoreNewsReply,
+    /// What it knows of draining halls, if anything.
+    pub draining: Option<DrainingNews>,
+}
+
+/// The draining halls, as one host tells them another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainingNews {
+    /// The store's version up to which they are known.
+    pub version: u64,
+    /// All of them.
+    pub halls: Vec<Name>,
+}
+
 /// The list of targets, as one host tells it another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ListNews {
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -65,11 +65,14 @@
     }
 
     /// Returns the peers to which a demand is advertised, others each time if there
-    /// are many.
+    /// are many: not those of draining halls, unless there are no others.
     pub fn advertised_to(&mut self, now: Millis) -> Vec<Name> {
         let open = self.peers.iter();
         let open = open.filter(|(_, peer)| peer.takes_tasks(now));
-        let open: Vec<&Name> = open.map(|(name, _)| name).collect();
+        let (drained, serving): (Vec<_>, Vec<_>) =
+            open.partition(|(_, peer)| self.draining.contains(&peer.info.hall));
+        let open = if serving.is_empty() { drained } else { serving };
+        let open: Vec<&Name> = open.into_iter().map(|(name, _)| name).collect();
         let first = self.next_advertised % open.len().max(1);
         let count = ADVERTISED_PEERS.min(open.len());
         let chosen = open.iter().cycle().skip(first).take(count);
--- a/crates/dispatcher-core/src/peers/mod.rs
+++ b/crates/dispatcher-core/src/peers/mod.rs
@@ -20,6 +20,7 @@
 use gannetridge_wire::Name;
 
 use crate::message::{HeartbeatReply, HostInfo, Reply};
+use crate::rules::draining::Halls;
 use crate::rules::heartbeat_intervals::{first_far_heartbeat, HeartbeatIntervals};
 use crate::rules::leases::Times;
 use crate::rules::liveness::is_in_minority;
@@ -45,6 +46,8 @@
     membership: Membership,
     /// The position of the peer to which the next demand is advertised first.
     next_advertised: usize,
+    /// The halls that get no new tasks.
+    draining: Halls,
     seeds: Vec<SocketAddr>,
     /// When seeds are asked next.
     next_seeds: Millis,
@@ -63,6 +66,7 @@
             far: HeartbeatIntervals::far(&times, 0),
             membership: Membership::default(),
             next_advertised: 0,
+            draining: Halls::default(),
             next_seeds: 0,
             peers: BTreeMap::new(),
         };
@@ -127,6 +131,11 @@
         }
     }
 
+    /// Takes note of the halls that get no new tasks from now on.
+    pub fn set_draining(&mut self, halls: &Halls) {
+        self.draining = Halls::clone(halls);
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
         let others = seeds.iter().filter(|seed| **seed != self.own.address);
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -14,6 +14,9 @@
 //! waiting there tells nothing of how full the targets are, and after a loss of power most
 //! jobs that wait for the first targets can still be served.
 //!
+//! A job of which nothing runs and a task could run in draining halls only ends at once; see
+//! [`super::draining`].
+//!
 //! A job that may have begun ends at its deadline, or as soon as nothing of it runs and
 //! a task can't end in time even if it takes only `ESTIMATE_FLOOR` of its estimate; what
 //! runs is let run, since stopping it gains nothing.
@@ -127,7 +130,9 @@
         EndCause::Done => Answer::Completed,
         EndCause::Cancelled => Answer::Cancelled,
         EndCause::AttemptsExhausted => Answer::Failed,
-        EndCause::Deadline
+        EndCause::Draining if not_run => refused_while_draining(),
+        EndCause::Draining
+        | EndCause::Deadline
         | EndCause::NoResources
         | EndCause::PassedOver
         | EndCause::TooLarge
@@ -151,6 +156,14 @@
     }
 }
 
+/// Refuses a job while only draining halls have targets for it: for how long isn't known
+/// here, so its caller comes back as late as any.
+fn refused_while_draining() -> Answer {
+    Answer::Refused {
+        retry_after_ms: RETRY_AFTER_MS.1,
+    }
+}
+
 /// Refuses a job at a host that has as many as it takes: its caller comes back
 /// as late as any.
 #[must_use]
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -13,7 +13,7 @@
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | What follows from the end of an attempt? | [`retry`] |
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
-//! | Why does a target get no tasks? | [`target_health`] |
+//! | Why does a target get no tasks? | [`target_health`], [`draining`] |
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
 //! | Who reads the platform's store? | [`store_readers`] |
 //! | Is a peer alive? | [`liveness`] |
@@ -27,6 +27,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod contention;
+pub mod draining;
 pub mod giving_up;
 pub mod heartbeat_intervals;
 pub mod leases;
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -53,6 +53,16 @@
     pub starts_are_doubted: bool,
     /// Targets that leave get no new tasks.
     pub leaving_is_heeded: bool,
+    /// Targets of a draining hall get no new tasks.
+    pub draining_is_heeded: bool,
+    /// Which halls drain is taken from the store where that is read whole.
+    pub draining_is_read: bool,
+    /// Halls that begin to drain are taken from the store's changes.
+    pub draining_is_followed: bool,
+    /// Which halls drain is taken from hosts that read the store.
+    pub draining_is_told: bool,
+    /// Halls that are taken back serve again.
+    pub draining_ends: bool,
     /// A job that may have begun isn't refused as not run.
     pub begun_is_not_refused: bool,
     /// Attempts on a target that doesn't answer are over only after its lease.
@@ -67,6 +77,11 @@
             lost_attempts_are_waited_for: true,
             starts_are_doubted: true,
             leaving_is_heeded: true,
+            draining_is_heeded: true,
+            draining_is_read: true,
+            draining_is_followed: true,
+            draining_is_told: true,
+            draining_ends: true,
             begun_is_not_refused: true,
             silent_attempts_are_waited_for: true,
         }
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -19,6 +19,7 @@
 mod target;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 
 use gannetridge_wire::Name;
 
@@ -26,6 +27,7 @@
 use crate::decision::{BeliefSource, Decision, TargetBelief};
 use crate::event::CallId;
 use crate::message::{AttemptId, FreeResources, TaskOrder};
+use crate::rules::draining::Halls;
 use crate::rules::leases::Times;
 use crate::rules::target_choice;
 use crate::settings::{Safeguards, Settings};
@@ -67,6 +69,17 @@
     Stop(AttemptId),
 }
 
+/// Where a task could be run, once there are the resources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Runnable {
+    /// On a known target whose hall isn't draining; or no target is known yet.
+    Yes,
+    /// On targets of draining halls only.
+    InDrainingHalls,
+    /// On no known target.
+    Nowhere,
+}
+
 /// How many targets there are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetCounts {
@@ -91,6 +104,8 @@
     active: BTreeSet<Name>,
     /// The targets that the list doesn't show.
     unlisted: BTreeSet<Name>,
+    /// The halls that get no new tasks.
+    draining: Halls,
     assignment: Assignment,
     tokens: Tokens,
     /// The tasks with an attempt on any target.
@@ -115,6 +130,7 @@
             leased: BTreeSet::new(),
             active: BTreeSet::new(),
             unlisted: BTreeSet::new(),
+            draining: Halls::default(),
             assignment: Assignment::new(settings.name.clone()),
             tokens: Tokens::new(settings.epoch_ms, &settings.name),
             tasks: HashSet::new(),
@@ -204,12 +220,47 @@
         leased.any(|target| target.free().fits(resources) && self.is_usable(now, target))
     }
 
-    /// Returns whether any known target could ever run the order; true while no
-    /// target is known.
+    /// Returns where an order could be run, once there are the resources.
     #[must_use]
-    pub fn could_run(&self, order: &TaskOrder) -> bool {
-        let mut targets = self.targets.values();
-        targets.len() == 0 || targets.any(|target| target_choice::could_run(&target.entry, order))
+    pub fn runnable(&self, order: &TaskOrder) -> Runnable {
+        if self.targets.is_empty() {
+            return Runnable::Yes;
+        }
+        let mut only_draining = false;
+        for target in self.targets.values() {
+            if !target_choice::could_run(&target.entry, order) {
+                continue;
+            }
+            if !self.is_draining(&target.entry.hall) {
+                return Runnable::Yes;
+            }
+            only_draining = true;
+        }
+        if only_draining {
+            Runnable::InDrainingHalls
+        } else {
+            Runnable::Nowhere
+        }
+    }
+
+    /// Takes note of the halls that get no new tasks from now on.
+    pub fn set_draining(&mut self, halls: &Halls) {
+        let before = std::mem::replace(&mut self.draining, Arc::clone(halls));
+        for id in self.leased.clone() {
+            let target = self.targets.get_mut(&id).expect("leased targets are known");
+            let hall = &target.entry.hall;
+            let state = match (before.contains(hall), halls.contains(hall)) {
+                (false, true) => TargetBelief::HallDraining,
+                (true, false) => TargetBelief::HallServing,
+                (true, true) | (false, false) => continue,
+            };
+            target.drop_reservation();
+            self.record_target(&id, state, BeliefSource::Operator);
+        }
+    }
+
+    fn is_draining(&self, hall: &Name) -> bool {
+        self.safeguards.draining_is_heeded && self.draining.contains(hall)
     }
 
     /// Returns the targets for which anything may be due.
@@ -245,12 +296,13 @@
         leased.filter(move |target| self.is_usable(now, target))
     }
 
-    /// Returns whether tasks may be started on a target: it is listed and stays, it
-    /// answers and is well, and it isn't to be left to another host.
+    /// Returns whether tasks may be started on a target: it is listed and stays, as does its
+    /// hall, it answers and is well, and it isn't to be left to another host.
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
         let listed = target.unlisted_since.is_none() || !self.store.list_is_settled(now);
         let leaving = target.entry.leaving && self.safeguards.leaving_is_heeded;
-        listed && !leaving && target.takes_task(now) && !self.is_being_released(now, target)
+        let stays = !leaving && !self.is_draining(&target.entry.hall);
+        listed && stays && target.takes_task(now) && !self.is_being_released(now, target)
     }
 
     fn is_being_released(&self, now: Millis, target: &Target) -> bool {
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -5,10 +5,11 @@
 use std::fmt::Write;
 
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
+use gannetridge_dispatcher_core::event::TargetChange;
 use gannetridge_dispatcher_core::message::{
-    AttemptEnd, AttemptId, AttemptOutcome, Demand, EchoedClock, Envelope, FreeResources, Heartbeat,
-    HeartbeatReply, HostInfo, Priority, PriorityClass, Reply, ReplyBody, Request, SpreadLimit,
-    TaskOrder,
+    AttemptEnd, AttemptId, AttemptOutcome, Demand, DrainingNews, EchoedClock, Envelope,
+    FreeResources, Heartbeat, HeartbeatReply, HostInfo, ListNews, PlatformNewsReply, Priority,
+    PriorityClass, Reply, ReplyBody, Request, SpreadLimit, StoreNewsReply, TaskOrder,
 };
 use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_wire::codec;
@@ -174,6 +175,17 @@
     }
 }
 
+fn store_news() -> StoreNewsReply {
+    StoreNewsReply {
+        targets_version: 300,
+        configuration_version: 301,
+        in_force: 11,
+        age_ms: 120,
+        settled: true,
+        list: ListNews::Changes(vec![TargetChange::Gone("target-7".into())]),
+    }
+}
+
 bytes! {
     request_beat: ask(Request::Heartbeat(heartbeat()));
     request_without_echo: Envelope { echoed_clock: None, ..ask(Request::Configuration) };
@@ -187,6 +199,14 @@
     request_stop: ask(Request::Stop { keys: vec![key()], report: true });
     request_ended: ask(Request::Ended(ends()));
     request_queues: ask(Request::Configuration);
+    request_store_news: ask(Request::StoreNews { after: 300 });
+    request_platform_news: ask(Request::PlatformNews { after: 300 });
+    reply_store_news: reply(ReplyBody::StoreNews(Some(store_news())));
+    reply_platform_news: reply(ReplyBody::PlatformNews(Some(PlatformNewsReply {
+        store: store_news(),
+        draining: Some(DrainingNews { version: 301, halls: vec!["hall-b".into()] }),
+    })));
+    reply_no_platform_news: reply(ReplyBody::PlatformNews(None));
     reply_beat: reply(ReplyBody::Heartbeat(HeartbeatReply {
         leaving: false,
         version: 11,
--- a/crates/dispatcher-core/tests/store_news.rs
+++ b/crates/dispatcher-core/tests/store_news.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use gannetridge_dispatcher_core::decision::StoreReading;
-use gannetridge_dispatcher_core::event::{TargetChange, TargetEntry};
+use gannetridge_dispatcher_core::event::{SendFailure, TargetChange, TargetEntry};
 use gannetridge_dispatcher_core::message::{
-    HostInfo, ListNews, ReplyBody, Request, StoreNewsReply,
+    DrainingNews, HostInfo, ListNews, PlatformNewsReply, ReplyBody, Request, StoreNewsReply,
 };
 use gannetridge_dispatcher_core::rules::store_readers::{readers, to_ask};
 use gannetridge_dispatcher_core::{CallId, Event, Millis, StoreTable};
@@ -73,9 +73,9 @@
 
 /// Takes the questions for news, each with the name of whom it went to.
 fn questions(rig: &mut Rig) -> Vec<(CallId, String, u64)> {
-    let asked = rig.requests(|request| matches!(request, Request::StoreNews { .. }));
+    let asked = rig.requests(|request| matches!(request, Request::PlatformNews { .. }));
     let asked = asked.into_iter().map(|(call, envelope)| {
-        let Request::StoreNews { after } = envelope.request else {
+        let Request::PlatformNews { after } = envelope.request else {
             panic!("it asks for news");
         };
         let number = rig.addresses[&call].port() - 100;
@@ -84,8 +84,23 @@
     asked.collect()
 }
 
+/// Tells the host news, and that no hall is draining.
 fn tell(rig: &mut Rig, call: CallId, news: StoreNewsReply) {
-    let reply = Ok(rig.reply(ReplyBody::StoreNews(Some(news)), 0));
+    let draining = Some(DrainingNews {
+        version: news.configuration_version,
+        halls: Vec::new(),
+    });
+    tell_platform_news(rig, call, news, draining);
+}
+
+fn tell_platform_news(
+    rig: &mut Rig,
+    call: CallId,
+    store: StoreNewsReply,
+    draining: Option<DrainingNews>,
+) {
+    let news = PlatformNewsReply { store, draining };
+    let reply = Ok(rig.reply(ReplyBody::PlatformNews(Some(news)), 0));
     rig.event(Event::PeerReply { call, reply });
 }
 
@@ -293,3 +308,92 @@
         assert_eq!(known(&rig), 0);
     }
 );
+
+/// A host of the north hall that was told that the south hall is draining.
+fn told_of_south(draining: Option<DrainingNews>) -> Rig {
+    let mut rig = told_host();
+    rig.pass(400);
+    let (call, _, _) = questions(&mut rig).pop().expect("it asks");
+    let store = news(11, 0, ListNews::Changes(Vec::new()));
+    tell_platform_news(&mut rig, call, store, draining);
+    rig
+}
+
+fn halls_draining(rig: &Rig) -> usize {
+    rig.host.counts(rig.now).halls_draining
+}
+
+case!(draining_halls_are_told, {
+    let south = DrainingNews {
+        version: 11,
+        halls: vec!["south".into()],
+    };
+    let mut rig = told_of_south(Some(south.clone()));
+    assert_eq!(halls_draining(&rig), 1);
+    assert_eq!(rig.host.store_version(StoreTable::Configuration), 11);
+    rig.peer_asks(1, Request::PlatformNews { after: 11 });
+    let ReplyBody::PlatformNews(Some(told)) = &rig.replies[0].1.body else {
+        panic!("it tells");
+    };
+    assert_eq!(told.draining, Some(south));
+});
+
+case!(told_halls_never_go_back, {
+    let mut rig = told_of_south(Some(DrainingNews {
+        version: 11,
+        halls: vec!["south".into()],
+    }));
+    // A reader that lies behind tells of the time before.
+    tell_next(&mut rig, news(10, 0, ListNews::Changes(Vec::new())));
+    assert_eq!(halls_draining(&rig), 1);
+    // So does the answer to a read that was on its way meanwhile.
+    rig.event(Event::DrainingHallsRead {
+        version: 10,
+        halls: Vec::new(),
+    });
+    assert_eq!(halls_draining(&rig), 1);
+    tell_next(&mut rig, news(12, 0, ListNews::Changes(Vec::new())));
+    assert_eq!(halls_draining(&rig), 0);
+});
+
+case!(
+    the_table_counts_as_known_no_further_than_its_draining_halls,
+    {
+        // A host that would read on from version 11 would never hear of a hall drained
+        // before that.
+        let rig = told_of_south(None);
+        assert_eq!(rig.host.store_version(StoreTable::Targets), 11);
+        assert_eq!(rig.host.store_version(StoreTable::Configuration), 10);
+    }
+);
+
+case!(a_host_of_an_earlier_release_gets_the_reply_it_knows, {
+    let mut rig = told_of_south(Some(DrainingNews {
+        version: 11,
+        halls: vec!["south".into()],
+    }));
+    rig.peer_asks(1, Request::StoreNews { after: 11 });
+    let body = &rig.replies[0].1.body;
+    assert!(matches!(body, ReplyBody::StoreNews(Some(_))), "{body:?}");
+});
+
+case!(
+    a_host_of_an_earlier_release_that_does_not_tell_is_passed_over,
+    {
+        let mut rig = told_host();
+        let mut asked = Vec::new();
+        for _ in 0..200 {
+            rig.pass(10);
+            rig.answer_heartbeats(0);
+            for (call, name, _) in questions(&mut rig) {
+                asked.push(name);
+                let reply = Err(SendFailure::Unknown);
+                rig.event(Event::PeerReply { call, reply });
+            }
+        }
+        asked.sort();
+        asked.dedup();
+        assert!(asked.len() >= 4, "{asked:?}");
+        assert_eq!(rig.host.store_reading(rig.now), StoreReading::Stale);
+    }
+);
--- a/crates/dispatcher-sim/src/checks.rs
+++ b/crates/dispatcher-sim/src/checks.rs
@@ -16,6 +16,10 @@
     Capacity,
     /// A target that has been leaving for long gets no task.
     Leaving,
+    /// A hall that has been draining for long gets no task.
+    Draining,
+    /// A hall that was taken back serves again.
+    TakenBack,
     /// A job is answered as completed only with all its tasks done.
     CompletedWhole,
     /// A job is answered as failed only with a task that failed as often as allowed.
@@ -105,6 +109,16 @@
         self.broken(at, Rule::Leaving, target.to_string());
     }
 
+    /// Records a start in a hall that has long been draining.
+    pub fn started_while_draining(&mut self, at: Millis, target: &Name) {
+        self.broken(at, Rule::Draining, target.to_string());
+    }
+
+    /// Records that nothing starts in a hall that was taken back.
+    pub fn not_taken_back(&mut self, at: Millis, hall: &Name) {
+        self.broken(at, Rule::TakenBack, hall.to_string());
+    }
+
     /// Records a caller's answer, or that it has none.
     pub fn answered(
         &mut self,
--- a/crates/dispatcher-sim/src/scenario.rs
+++ b/crates/dispatcher-sim/src/scenario.rs
@@ -24,6 +24,8 @@
     pub jobs_per_s: f64,
     /// The mean pause between faults, none if 0.
     pub fault_gap_ms: Millis,
+    /// The mean pause between times at which the operator drains halls, none if 0.
+    pub drain_gap_ms: Millis,
     /// Whether targets reject what doesn't fit.
     pub guards: bool,
     /// Whether hosts' notes and faults are printed.
@@ -46,6 +48,7 @@
             targets: 4,
             jobs_per_s: 30.0,
             fault_gap_ms: 1_500,
+            drain_gap_ms: 0,
             guards: seed % 2 == 0,
             verbose: false,
             safeguards: Safeguards::default(),
@@ -60,6 +63,17 @@
     }
 }
 
+impl Scenario {
+    /// The same, where the operator drains halls and takes them back all the time.
+    #[must_use]
+    pub fn with_drains(seed: u64) -> Self {
+        Self {
+            drain_gap_ms: 4_000,
+            ..Self::new(seed)
+        }
+    }
+}
+
 /// What came of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
--- a/crates/dispatcher-sim/src/world/building.rs
+++ b/crates/dispatcher-sim/src/world/building.rs
@@ -93,6 +93,7 @@
             let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
             for event in [
                 Event::ConfigurationRead(configuration()),
+                self.draining_halls(),
                 Event::TargetsRead(self.list()),
                 Event::HostsRead(hosts),
             ] {
--- a/crates/dispatcher-sim/src/world/faults.rs
+++ b/crates/dispatcher-sim/src/world/faults.rs
@@ -106,6 +106,7 @@
     }
 
     pub(super) fn over(&mut self, fault: Fault) {
+        self.note_trouble(fault);
         match fault {
             Fault::Freeze(host) => self.wake(host),
             Fault::CutPeers(host) => lift(&mut self.cut_peers, host),
@@ -126,6 +127,19 @@
         }
     }
 
+    /// Notes the end of what keeps hosts from hearing of the store.
+    fn note_trouble(&mut self, fault: Fault) {
+        match fault {
+            Fault::CutPeers(host) | Fault::CutTargets(host) | Fault::Freeze(host) => {
+                self.host_troubled[host] = self.now;
+            }
+            Fault::CutHall(hall) => self.hall_troubled[hall] = self.now,
+            Fault::LossyPeers => self.peers_troubled = self.now,
+            Fault::StoreOut if self.turned_away.is_none() => self.store_out_for_all = self.now,
+            _ => {}
+        }
+    }
+
     pub(super) fn store_back(&mut self) {
         self.store_troubled = self.now;
         if self.hosts_tell_each_other() {
@@ -136,6 +150,7 @@
             let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
             self.tell(host, 21, Event::HostsRead(hosts));
             self.tell(host, 21, Event::ConfigurationRead(configuration()));
+            self.tell(host, 21, self.draining_halls());
             // Some entries lapsed meanwhile, and are back soon.
             let mut list = self.list();
             list.retain(|_| self.rng.random_bool(0.7));
@@ -181,6 +196,7 @@
         let hosts = self.hosts.iter().map(|host| host.info.clone()).collect();
         self.tell(host, 1, Event::HostsRead(hosts));
         self.tell(host, 1, Event::ConfigurationRead(configuration()));
+        self.tell(host, 1, self.draining_halls());
         self.tell(host, 1, Event::TargetsRead(self.list()));
         for table in [StoreTable::Targets, StoreTable::Configuration] {
             let answered = Event::StoreAnswered {
--- a/crates/dispatcher-sim/src/world/mod.rs
+++ b/crates/dispatcher-sim/src/world/mod.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod building;
+mod draining;
 mod faults;
 mod network;
 mod parts;
@@ -23,6 +24,7 @@
 use crate::scenario::{Outcome, Scenario};
 use crate::target::Target;
 
+use draining::HallState;
 use parts::{Happening, Host, LongPoll, Pending};
 
 /// Between steps of what runs on targets, in ms. Chosen, not measured.
@@ -55,6 +57,8 @@
 const HIT: f64 = 0.1;
 /// The wall clock's time when the run begins.
 const EPOCH_MS: u64 = 1_760_000_000_000;
+/// Sets the generator of drained halls apart from that of all else.
+const DRAIN_STREAM: u64 = 0x6472_6169_6e00;
 /// How often a task may fail. Chosen, not measured.
 const MAX_ATTEMPTS: u32 = 2;
 
@@ -87,6 +91,16 @@
     /// Grows with each change of what the store holds.
     store_version: u64,
     store_troubled: Millis,
+    /// When the store was last out for all hosts.
+    store_out_for_all: Millis,
+    /// When each host was last cut off.
+    host_troubled: Vec<Millis>,
+    /// When each hall was last cut off.
+    hall_troubled: Vec<Millis>,
+    /// When requests between hosts were last lost.
+    peers_troubled: Millis,
+    halls: Vec<HallState>,
+    drain_rng: Pcg64,
     leaving_since: HashMap<Name, Millis>,
     checks: Checks,
     outcome: Outcome,
@@ -122,6 +136,12 @@
             turned_away: None,
             store_version: 1,
             store_troubled: 0,
+            store_out_for_all: 0,
+            host_troubled: vec![0; scenario.halls * scenario.hosts],
+            hall_troubled: vec![0; scenario.halls],
+            peers_troubled: 0,
+            halls: vec![HallState::default(); scenario.halls],
+            drain_rng: Pcg64::seed_from_u64(scenario.seed ^ DRAIN_STREAM),
             leaving_since: HashMap::new(),
             checks: Checks::default(),
             outcome: Outcome::default(),
@@ -151,6 +171,7 @@
         if scenario.fault_gap_ms > 0 {
             world.at(QUIET_MS, Happening::Fault);
         }
+        world.plan_drains();
         world
     }
 
@@ -180,6 +201,7 @@
             self.happen(happening);
         }
         self.check_recovery();
+        self.check_taken_back(self.scenario.load_ms + RECOVERY_MS);
         self.checks.finish(self.now);
         self.outcome.starts = self.checks.starts;
         self.outcome.violations = self.checks.violations;
@@ -246,6 +268,8 @@
                 }
             }
             Happening::Read(host) => self.read_store(host),
+            Happening::Drain => self.drain(),
+            Happening::TakeBack(hall) => self.take_back(hall),
         }
     }
 
--- a/crates/dispatcher-sim/src/world/network.rs
+++ b/crates/dispatcher-sim/src/world/network.rs
@@ -146,7 +146,14 @@
         }
         let now = self.now;
         let reply = match order {
-            TargetCall::Start(order) => self.start(index, token, &order),
+            TargetCall::Start(order) => {
+                let (reply, begun) = self.start(index, token, &order);
+                // An order that was lost may be carried out late: no host is bound then.
+                if begun && !lost {
+                    self.check_drained(pending.host, index);
+                }
+                reply
+            }
             TargetCall::Stop(key) => {
                 let (reply, ended) = target.stop(now, token, &key);
                 if let Some(ended) = ended {
@@ -187,7 +194,13 @@
         }
     }
 
-    pub(super) fn start(&mut self, index: usize, token: u64, order: &StartOrder) -> TargetReply {
+    /// Starts a task; returns the reply, and whether it began.
+    pub(super) fn start(
+        &mut self,
+        index: usize,
+        token: u64,
+        order: &StartOrder,
+    ) -> (TargetReply, bool) {
         let now = self.now;
         let job = order.id.task.split('.').next().unwrap_or_default();
         let (resources, estimate) = self.resources[job];
@@ -205,7 +218,7 @@
             self.checks.started(now, &id, &order.id, over);
             self.check_leaving(&id);
         }
-        reply
+        (reply, begun)
     }
 
     /// A host in touch heard long ago that the target leaves.
--- a/crates/dispatcher-sim/src/world/parts.rs
+++ b/crates/dispatcher-sim/src/world/parts.rs
@@ -92,4 +92,8 @@
     ReadAgain(usize),
     /// A host reads the store, if nobody tells it what that holds.
     Read(usize),
+    /// The operator drains halls.
+    Drain,
+    /// The operator takes a hall back.
+    TakeBack(usize),
 }
--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -49,6 +49,64 @@
     }
 }
 
+/// Halls are drained and taken back at any moment, one, two or all of them.
+#[test]
+fn promises_are_kept_while_halls_are_drained() {
+    for seed in 1..=24 {
+        let outcome = run(&Scenario::with_drains(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn promises_are_kept_among_many_hosts_while_halls_are_drained() {
+    for seed in 1..=6 {
+        let outcome = run(&wide_with_drains(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+fn wide_with_drains(seed: u64) -> Scenario {
+    Scenario {
+        hosts: 8,
+        targets: 12,
+        jobs_per_s: 120.0,
+        load_ms: 20_000,
+        ..Scenario::with_drains(seed)
+    }
+}
+
+/// Each way in which news of draining halls may go missing, and the rule that is then broken.
+const DRAINING_MUTANTS: [(&str, Remove, Rule); 5] = [
+    ("heeded", |s| s.draining_is_heeded = false, Rule::Draining),
+    ("read", |s| s.draining_is_read = false, Rule::Draining),
+    (
+        "followed",
+        |s| s.draining_is_followed = false,
+        Rule::Draining,
+    ),
+    ("told", |s| s.draining_is_told = false, Rule::Draining),
+    ("ends", |s| s.draining_ends = false, Rule::TakenBack),
+];
+
+#[test]
+fn missing_news_of_draining_halls_are_found() {
+    for (name, remove, rule) in DRAINING_MUTANTS {
+        let mut safeguards = Safeguards::default();
+        remove(&mut safeguards);
+        let breaks = |scenario: Scenario| {
+            let outcome = run(&Scenario {
+                safeguards,
+                ..scenario
+            });
+            outcome.violations.iter().any(|v| v.rule == rule)
+        };
+        let found = (1..=20)
+            .any(|seed| breaks(Scenario::with_drains(seed)) || breaks(wide_with_drains(seed)));
+        assert!(found, "nobody missed: {name}");
+    }
+}
+
 /// So many hosts that idle pairs of them hear of each other more rarely than
 /// owner leases last.
 #[test]
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -83,6 +83,15 @@
             attempts,
             over_in_ms,
         } => info!(event = "session-lost", %peer, runs = attempts, over_in_ms),
+        Decision::HallDraining {
+            hall,
+            draining,
+            version,
+            age_ms,
+            from,
+        } => {
+            info!(event = "hall", %hall, draining, version, age_ms, from = from.as_str());
+        }
         Decision::Configuration { version, from } => {
             info!(event = "configuration", version, from = from.as_str());
         }
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -35,6 +35,7 @@
     version: Gauge<u64>,
     store: Gauge<u64>,
     store_age: Gauge<u64>,
+    halls_draining: Gauge<u64>,
     under_way: Gauge<u64>,
     leased: Gauge<u64>,
     known: Gauge<u64>,
@@ -76,6 +77,7 @@
             version: gauge("configuration_version", "The version in force"),
             store: gauge("store_reachable", "1 while the store answers"),
             store_age: gauge("store_age_ms", "Age of what is believed of the store"),
+            halls_draining: gauge("halls_draining", "Halls that get no new tasks"),
             under_way: gauge("jobs_under_way", "Jobs under way"),
             leased: gauge("targets_kept", "Targets that this host looks after"),
             known: gauge("targets_known", "Targets in the list"),
@@ -130,6 +132,7 @@
             Decision::Store { reachable } => self.store.record(u64::from(*reachable), &[]),
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
+            | Decision::HallDraining { .. }
             | Decision::Peer { .. }
             | Decision::SessionLost { .. }
             | Decision::StoreReading { .. } => {}
@@ -157,6 +160,8 @@
         self.leased.record(counts.targets_leased as u64, &[]);
         self.attempts.record(counts.attempts as u64, &[]);
         self.peers.record(counts.peers_alive as u64, &[]);
+        self.halls_draining
+            .record(counts.halls_draining as u64, &[]);
         // Without any answer there is no age.
         if let Some(age_ms) = counts.store_age_ms {
             self.store_age.record(age_ms, &[]);
--- a/crates/dispatcher/src/platform_client.rs
+++ b/crates/dispatcher/src/platform_client.rs
@@ -11,7 +11,7 @@
 
 use gannetridge_dispatcher_core::configuration::Configuration;
 use gannetridge_dispatcher_core::event::{
-    SendFailure, Submit, TargetChange, TargetEntry, TargetReply,
+    HallChange, SendFailure, Submit, TargetChange, TargetEntry, TargetReply,
 };
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::{Answer, Millis, TargetCall};
@@ -61,7 +61,7 @@
 /// The tables that are read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Table {
-    /// The operator's: the configuration.
+    /// The operator's: the configuration, and which halls are draining.
     Configuration,
     /// The targets'.
     Targets,
@@ -74,6 +74,8 @@
 pub enum Row {
     /// The configuration.
     Configuration(Configuration),
+    /// Whether a hall is draining.
+    Hall(HallChange),
     /// A target.
     Target(TargetChange),
     /// A host.
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use gannetridge_dispatcher_core::decision::StoreReading;
+use gannetridge_dispatcher_core::event::HallChange;
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::{Event, Millis, StoreTable};
 use gannetridge_process::mailbox::ask;
@@ -232,9 +233,11 @@
     } else {
         let mut hosts = Vec::new();
         let mut targets = Vec::new();
+        let mut halls = Vec::new();
         for row in rows.rows {
             match row {
                 Row::Configuration(queues) => events.push(Event::ConfigurationRead(queues)),
+                Row::Hall(change) => halls.push(change),
                 Row::Target(change) => targets.push(change),
                 Row::Host(host) => hosts.push(host),
                 Row::Faulty(key) => warn!(event = "faulty-row", ?table, %key),
@@ -246,6 +249,9 @@
         if !hosts.is_empty() {
             events.push(Event::HostsRead(hosts));
         }
+        if table == Table::Configuration {
+            events.push(halls_event(version, halls, whole));
+        }
     }
     let answered = match table {
         Table::Configuration => Some(StoreTable::Configuration),
@@ -263,6 +269,19 @@
     Ok(())
 }
 
+/// Returns what tells of draining halls: also where none changed, so that it is known up to
+/// which version they are known.
+fn halls_event(version: u64, changes: Vec<HallChange>, whole: bool) -> Event {
+    if !whole {
+        return Event::DrainingHallsChanged { version, changes };
+    }
+    let draining = changes.into_iter().filter(|change| change.draining);
+    Event::DrainingHallsRead {
+        version,
+        halls: draining.map(|change| change.hall).collect(),
+    }
+}
+
 /// Writes this host's row, so that others find it.
 pub async fn announce(platform_client: PlatformClient, info: HostInfo) {
     let mut pause = RetryPause(STORE_RETRY_MS.0);
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -113,6 +113,13 @@
             version: 12,
             from: ConfigurationSource::Store,
         },
+        Decision::HallDraining {
+            hall: "hall-a".into(),
+            draining: true,
+            version: 12,
+            age_ms: Some(40),
+            from: ConfigurationSource::Peer,
+        },
         Decision::Store { reachable: false },
         Decision::StoreReading {
             reading: StoreReading::Stale,
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -42,6 +42,13 @@
         meta = "N"
     )]
     fault_gap_ms: u64,
+    #[options(
+        no_short,
+        help = "the mean pause in ms between times at which halls are drained, 0 for none",
+        default = "4000",
+        meta = "N"
+    )]
+    drain_gap_ms: u64,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -53,6 +60,7 @@
         play(&Scenario {
             load_ms: options.load_ms,
             fault_gap_ms: options.fault_gap_ms,
+            drain_gap_ms: options.drain_gap_ms,
             verbose: options.verbose,
             hosts: options.hosts,
             targets: options.targets,
