Read less of the targets' table at a time on narrow links

Cause: a host that reads the store reads the targets' table each 750 ms. With 126 targets, whose rows change each 1.5 s, an answer has 28 KB: 113 ms of a link of 2 Mbit/s. Found by the silences' times in the hosts' logs. Ruled out: the processor (timers late by 1 to 2 ms). Change: the pause is such that an answer takes the link for 20 ms, 150 ms at least. On links of 25 Mbit/s and more pauses stay.

--- a/crates/dispatcher/src/platform_client.rs
+++ b/crates/dispatcher/src/platform_client.rs
@@ -91,6 +91,8 @@
     pub rows: Vec<Row>,
     /// Changes after this version aren't among them.
     pub version: u64,
+    /// How long the answers that brought them were, in bytes.
+    pub bytes: u64,
 }
 
 impl Rows {
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -143,6 +143,7 @@
         let waits = Waits {
             between: pause,
             told_ms: Freshness::new(settings.bounds.drain_ms).ask,
+            link_bytes_per_s: settings.link.bytes_per_s(),
         };
         let following = follow(platform_client.clone(), table, waits, tx.clone());
         monoio::spawn(following);
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -33,6 +33,14 @@
 /// The longest pause between reads of the targets' table, in ms: rarer reads would
 /// save little. Chosen, not measured.
 const LONGEST_PAUSE_MS: Millis = 750;
+/// Between two reads of the targets' table so much comes that it takes the host's link for no
+/// longer than this, in ms: whatever comes meanwhile waits behind it. On links of 2 Mbit/s an
+/// answer after 750 ms, of 28 KB with 126 targets, took the link for 113 ms, longer than a
+/// target's reply is awaited, and targets counted as silent. The figure was chosen.
+const LONGEST_ANSWER_MS: f64 = 20.0;
+/// The shortest pause between reads of the targets' table, in ms: rows change singly, so that
+/// shorter ones only cost calls. Chosen, not measured.
+const SHORTEST_PAUSE_MS: f64 = 150.0;
 /// Between looks at whether this host reads the store, while others tell it. Chosen, not
 /// measured: a part of the time after which what they told is stale.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
@@ -66,6 +74,17 @@
     }
 }
 
+/// Returns how long to wait until the next read of a table, if the last one brought
+/// `bytes` that had come up in the time `took` on a link of `bytes_per_s`.
+#[must_use]
+pub fn pause_after(longest: Duration, bytes: u64, took: Duration, bytes_per_s: u64) -> Duration {
+    let came_per_ms = bytes as f64 / took.as_millis().max(1) as f64;
+    let link_per_ms = bytes_per_s as f64 / 1_000.0;
+    let pause_ms = LONGEST_ANSWER_MS * link_per_ms / came_per_ms.max(f64::MIN_POSITIVE);
+    let pause_ms = pause_ms.max(SHORTEST_PAUSE_MS);
+    longest.min(Duration::from_secs_f64(pause_ms.min(1e6) / 1_000.0))
+}
+
 /// How far the reading of a table has got.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
@@ -149,12 +168,15 @@
     /// How long the store may wait for a change, in ms, where other hosts are told what was
     /// read: they have to know soon that nothing changed.
     pub told_ms: Millis,
+    /// The bandwidth of the host's link, in bytes a second.
+    pub link_bytes_per_s: u64,
 }
 
 /// Follows a table for as long as the process lives, while nobody else tells what it holds.
 pub async fn follow(platform_client: PlatformClient, table: Table, waits: Waits, tx: Sender) {
     let mut pause = RetryPause(STORE_RETRY_MS.0);
     let mut progress = Progress::default();
+    let mut last_read = Instant::now();
     loop {
         let Ok(state) = ask(&tx, Message::StoreState).await else {
             return;
@@ -180,12 +202,15 @@
             Ok(rows) => {
                 pause.reset();
                 progress.answered(rows.version);
+                let (bytes, took) = (rows.bytes, last_read.elapsed());
+                last_read = Instant::now();
                 if deliver(&tx, table, rows, next == Read::Whole, asked).is_err() {
                     return;
                 }
                 let stale = state.reading == StoreReading::Stale;
                 let least = if stale { LOOK_AGAIN } else { Duration::ZERO };
-                monoio::time::sleep(waits.between.max(least)).await;
+                let between = pause_after(waits.between, bytes, took, waits.link_bytes_per_s);
+                monoio::time::sleep(between.max(least)).await;
             }
             Err(error) => {
                 info!(event = "store-read-failed", ?table, %error, after = progress.version);
--- a/crates/dispatcher/tests/store.rs
+++ b/crates/dispatcher/tests/store.rs
@@ -1,7 +1,9 @@
 //! How the platform's tables are read.
 
 use gannetridge_dispatcher::platform_client::{StoreError, Table};
-use gannetridge_dispatcher::store_task::{pause_between_reads, Progress, Read};
+use std::time::Duration;
+
+use gannetridge_dispatcher::store_task::{pause_after, pause_between_reads, Progress, Read};
 
 macro_rules! case {
     ($name:ident, $body:block) => {
@@ -57,3 +59,29 @@
     }
     assert!(pause_between_reads(Table::Configuration, 2_000).is_zero());
 });
+
+/// 126 targets whose rows of 450 bytes change each 1.5 s.
+const BYTES_PER_MS: u64 = 126 * 450 / 1_500;
+const LONGEST: Duration = Duration::from_millis(750);
+
+fn settled_pause(bytes_per_s: u64) -> Duration {
+    let mut pause = LONGEST;
+    for _ in 0..5 {
+        let bytes = BYTES_PER_MS * pause.as_millis() as u64;
+        pause = pause_after(LONGEST, bytes, pause, bytes_per_s);
+    }
+    pause
+}
+
+case!(on_a_narrow_link_little_is_read_at_a_time, {
+    // 2 Mbit/s: before, an answer took the link for 111 ms, now for 22.
+    let pause = settled_pause(250_000);
+    let link_ms = BYTES_PER_MS * pause.as_millis() as u64 / 250;
+    assert!(link_ms <= 23, "{link_ms} ms after {pause:?}");
+});
+
+case!(on_a_wide_link_reads_stay_as_rare, {
+    assert_eq!(settled_pause(3_125_000), LONGEST);
+    let nothing = pause_after(LONGEST, 0, Duration::ZERO, 250_000);
+    assert_eq!(nothing, LONGEST);
+});
