Say less and wait longer while this host's own link is full

Cause: an overload of the link led to more messages: delays made demands, demands offers, and time-outs silences, after which targets changed hands. Change: the least time that any peer's reply took in the last 100 ms is the host's own delay. As far as it is over 10 ms demands come more rarely (8 times the delay) and replies and reservations are awaited for longer (twice). Against fixed intervals, the way until now.

--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -25,6 +25,7 @@
 use crate::jobs::Jobs;
 use crate::message::HostInfo;
 use crate::peers::Peers;
+use crate::rules::congestion::OwnDelay;
 use crate::rules::draining::DrainingHalls;
 use crate::rules::leases::Times;
 use crate::rules::store_readers::Freshness;
@@ -74,6 +75,7 @@
     timers: Timers,
     stopping: Option<Stopping>,
     advertised: Option<Advertised>,
+    own_delay: OwnDelay,
     actions: Vec<Action>,
 }
 
@@ -107,6 +109,7 @@
             timers: Timers::default(),
             stopping: None,
             advertised: None,
+            own_delay: OwnDelay::default(),
             actions: Vec::new(),
         })
     }
--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -52,20 +52,26 @@
     },
 }
 
+/// A call that is on its way.
+struct OpenCall {
+    callee: Callee,
+    sent: Millis,
+}
+
 /// The calls to peers that are on their way.
 #[derive(Default)]
 pub(super) struct PeerCalls {
-    open: HashMap<CallId, Callee>,
+    open: HashMap<CallId, OpenCall>,
     last: u64,
     /// Whether a peer is being asked for its configuration.
     fetching_configuration: bool,
 }
 
 impl PeerCalls {
-    fn begin(&mut self, callee: Callee) -> CallId {
+    fn begin(&mut self, sent: Millis, callee: Callee) -> CallId {
         self.last += 1;
         let call = CallId(PEER_CALLS | self.last);
-        self.open.insert(call, callee);
+        self.open.insert(call, OpenCall { callee, sent });
         call
     }
 }
@@ -87,13 +93,13 @@
             name: name.clone(),
             purpose,
         };
-        let call = self.calls.begin(callee);
+        let call = self.calls.begin(now, callee);
         self.send(now, call, address, session, echoed_clock, request);
         Some(call)
     }
 
     pub(super) fn call_seed(&mut self, now: Millis, seed: SocketAddr, request: Request) {
-        let call = self.calls.begin(Callee::Seed);
+        let call = self.calls.begin(now, Callee::Seed);
         self.send(now, call, seed, SEED_SESSION, None, request);
     }
 
@@ -117,7 +123,7 @@
             call,
             address,
             envelope: Box::new(envelope),
-            wait_ms: PEER_WAIT_MS,
+            wait_ms: PEER_WAIT_MS + self.own_delay.added_to_waits(),
         });
     }
 
@@ -143,10 +149,16 @@
         call: CallId,
         reply: Result<Reply, SendFailure>,
     ) {
-        match self.calls.open.remove(&call) {
-            None => {}
-            Some(Callee::Seed) => self.seed_replied(now, reply),
-            Some(Callee::Peer { name, purpose }) => {
+        let Some(OpenCall { callee, sent }) = self.calls.open.remove(&call) else {
+            return;
+        };
+        if !matches!(reply, Err(SendFailure::Refused | SendFailure::NotSent)) {
+            self.own_delay.observe(now, now.saturating_sub(sent));
+            self.targets.set_added_wait(self.own_delay.added_to_waits());
+        }
+        match callee {
+            Callee::Seed => self.seed_replied(now, reply),
+            Callee::Peer { name, purpose } => {
                 self.hear_reply(now, &name, &purpose, &reply);
                 self.use_reply(now, call, &name, purpose, reply);
             }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -204,7 +204,9 @@
             return;
         };
         let last = self.advertised.as_ref();
-        if !is_advertised(now, &demand, last.map(|last| (&last.demand, last.at))) {
+        let added_ms = self.own_delay.added_to_demands();
+        let last = last.map(|last| (&last.demand, last.at + added_ms));
+        if !is_advertised(now, &demand, last) {
             return;
         }
         self.advertised = Some(Advertised {
--- /dev/null
+++ b/crates/dispatcher-core/src/rules/congestion.rs
@@ -0,0 +1,78 @@
+//! How full this host's own link is, and what it says and waits for then.
+//!
+//! **Rule.** The least time that any reply of a peer took in the last [`WINDOW_MS`] is this
+//! host's own delay: a peer that is slow delays its own replies only, a full link or a lack
+//! of processor time here delays all of them. As far as the delay is more than
+//! [`ORDINARY_MS`], demands are repeated more rarely, and replies and reservations are waited
+//! for longer: an overload leads to fewer messages, and isn't taken for the silence of targets.
+//!
+//! **Inputs.** Times in ms from requests to peers until their replies; of a request without
+//! reply, the time that was waited. **Measured.** See the constants. **Gives up.** Tasks at a
+//! host whose link is full hear of free resources later; a target that falls silent then is
+//! given up later.
+
+use crate::Millis;
+
+/// The least delay is taken of windows of this length, in ms: long enough for several replies
+/// at each host. Chosen, not measured.
+const WINDOW_MS: Millis = 100;
+/// A window with fewer replies than this says nothing. Chosen, not measured.
+const LEAST_REPLIES: u32 = 3;
+/// What the quickest reply may take on a link that isn't full, in ms: a round trip between
+/// halls, and the processors of two busy hosts. Chosen, not measured.
+const ORDINARY_MS: Millis = 10;
+/// Demands are repeated later by this many times the delay. Chosen, not measured.
+const REPEAT_FACTOR: Millis = 8;
+/// Replies and reservations are waited for longer by this many times the delay: one for the
+/// request and one for the reply. Chosen, not measured.
+const WAIT_FACTOR: Millis = 2;
+
+/// This host's own delay, as the replies of its peers show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDelay {
+    /// Of the last window that told of it, in ms, beyond what is ordinary.
+    delay_ms: Millis,
+    window_began: Millis,
+    least_ms: Option<Millis>,
+    replies: u32,
+}
+
+impl OwnDelay {
+    /// Records that a reply took so long, or didn't come within it.
+    pub fn observe(&mut self, now: Millis, took_ms: Millis) {
+        if now >= self.window_began + WINDOW_MS {
+            self.end_window(now);
+        }
+        self.replies += 1;
+        let least = self.least_ms.map_or(took_ms, |least| least.min(took_ms));
+        self.least_ms = Some(least);
+    }
+
+    fn end_window(&mut self, now: Millis) {
+        if let Some(least) = self.least_ms.filter(|_| self.replies >= LEAST_REPLIES) {
+            self.delay_ms = least.saturating_sub(ORDINARY_MS);
+        }
+        self.window_began = now;
+        self.least_ms = None;
+        self.replies = 0;
+    }
+
+    /// Returns the delay beyond what is ordinary, in ms.
+    #[must_use]
+    pub fn ms(&self) -> Millis {
+        self.delay_ms
+    }
+
+    /// Returns what is added to the time between two demands, in ms.
+    #[must_use]
+    pub fn added_to_demands(&self) -> Millis {
+        REPEAT_FACTOR * self.delay_ms
+    }
+
+    /// Returns what is added to the time for which replies and reservations are waited for,
+    /// in ms.
+    #[must_use]
+    pub fn added_to_waits(&self) -> Millis {
+        WAIT_FACTOR * self.delay_ms
+    }
+}
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -15,6 +15,7 @@
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`], [`draining`] |
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
+//! | How much is said on a full link? | [`congestion`] |
 //! | Who reads the platform's store? | [`store_readers`] |
 //! | Is a peer alive? | [`liveness`] |
 //! | Which hosts is a peer told? | [`membership`] |
@@ -26,6 +27,7 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod congestion;
 pub mod contention;
 pub mod draining;
 pub mod giving_up;
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -112,6 +112,9 @@
     unlisted: BTreeSet<Name>,
     /// The halls that get no new tasks.
     draining: Halls,
+    /// What is added to the time for which replies are waited for; see
+    /// [`crate::rules::congestion`].
+    added_wait: Millis,
     assignment: Assignment,
     tokens: Tokens,
     /// The tasks with an attempt on any target.
@@ -137,6 +140,7 @@
             active: BTreeSet::new(),
             unlisted: BTreeSet::new(),
             draining: Halls::default(),
+            added_wait: 0,
             assignment: Assignment::new(settings.name.clone()),
             tokens: Tokens::new(settings.epoch_ms, &settings.name),
             tasks: HashSet::new(),
@@ -253,6 +257,11 @@
         }
     }
 
+    /// Waits longer for replies by so many ms.
+    pub fn set_added_wait(&mut self, added_ms: Millis) {
+        self.added_wait = added_ms;
+    }
+
     /// Takes note of the halls that get no new tasks from now on.
     pub fn set_draining(&mut self, halls: &Halls) {
         let before = std::mem::replace(&mut self.draining, Arc::clone(halls));
@@ -332,7 +341,7 @@
             address: target.entry.address.clone(),
             token,
             order,
-            wait_ms,
+            wait_ms: wait_ms + self.added_wait,
         });
         let sent = Sent {
             token,
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -66,7 +66,7 @@
         let freest = fitting.max_by_key(|target| target.free().cpu)?;
         let (id, free) = (freest.entry.id.clone(), freest.free_in_pool());
         let target = self.targets.get_mut(&id).expect("the target was found");
-        target.reserve(peer, now + RESERVATION_MS);
+        target.reserve(peer, now + RESERVATION_MS + self.added_wait);
         Some(free)
     }
 
