Try attempts elsewhere that stand still, by the progress that targets list

Cause: a task on a hung target waited for four times its estimate and 150 ms. Change: an attempt without progress for 100 ms, or for as long as a target ten times slower than estimated takes for 2 % of its work, is stopped and tried elsewhere. Both times are the target's clock's, so that a listing that is long on its way stalls nothing. Against: four times the estimate alone, the way until now, which stays for targets that tell no progress and for orders that are carried out late.

--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -82,6 +82,8 @@
         Requested = "asked",
         /// It runs far longer than estimated; see `rules::target_health`.
         Overrun = "overrun",
+        /// It stands still; see `rules::progress`.
+        Stalled = "stalled",
     }
 }
 
--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -65,6 +65,15 @@
     pub draining: bool,
 }
 
+/// An attempt that runs, as its target lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedAttempt {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Percent of its work that is done, if the target tells.
+    pub percent: Option<u8>,
+}
+
 /// The end of an attempt as its target lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedEnd {
@@ -102,7 +111,7 @@
         /// The target's clock.
         clock: Millis,
         /// What runs there.
-        running: Vec<AttemptId>,
+        running: Vec<ListedAttempt>,
         /// What has ended.
         ended: Vec<ListedEnd>,
     },
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -17,6 +17,7 @@
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
 //! | How much is said on a full link? | [`congestion`] |
 //! | Who reads the platform's store? | [`store_readers`] |
+//! | Does an attempt stand still? | [`progress`] |
 //! | Is a peer alive? | [`liveness`] |
 //! | Which hosts is a peer told? | [`membership`] |
 //! | Who may start what until when? | [`leases`], [`heartbeat_intervals`] |
@@ -37,6 +38,7 @@
 pub mod membership;
 pub mod peer_choice;
 pub mod priority;
+pub mod progress;
 pub mod retry;
 pub mod store_readers;
 pub mod target_choice;
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -5,6 +5,7 @@
 use crate::decision::EndEvidence;
 use crate::event::CallId;
 use crate::message::{AttemptEnd, Envelope, SpreadLimit, TaskOrder};
+use crate::rules::progress::Progress;
 use crate::rules::target_health::RunningTime;
 use crate::spec::Resources;
 use crate::Millis;
@@ -72,6 +73,10 @@
     pub(super) confirmed: Option<Millis>,
     /// The latest time at which the target may begin it.
     pub(super) latest_begin: Millis,
+    /// How far it has got, once its target has told that it has it.
+    pub(super) progress: Option<Progress>,
+    /// Whether it stands still, as its target's last listing showed.
+    pub(super) stalled: bool,
     pub(super) stop: StopStage,
     /// Whether the owner wants to be told of its end.
     pub(super) report: bool,
@@ -88,6 +93,8 @@
             spread: order.spread.as_ref().map(|limit| limit.step.clone()),
             confirmed: None,
             latest_begin,
+            progress: None,
+            stalled: false,
             stop: StopStage::Wanted,
             report: true,
         }
@@ -98,6 +105,13 @@
         self.confirmed.get_or_insert(now);
     }
 
+    /// Records how far its target's listing says that it has got.
+    pub(super) fn observe_progress(&mut self, percent: u8, clock: Millis) {
+        let progress = self.progress.get_or_insert(Progress::begun(clock));
+        progress.observe(percent, clock);
+        self.stalled = progress.is_stalled(clock, self.estimate_ms);
+    }
+
     /// Has it stopped, with `report` telling whether its owner wants to know of
     /// its end. Returns false if it is being stopped already.
     pub(super) fn request_stop(&mut self, report: bool) -> bool {
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -4,7 +4,7 @@
 //! doesn't, or when the target's lease expired. Anything less leaves it running.
 
 use crate::decision::EndEvidence;
-use crate::event::{ListedEnd, ListedOutcome};
+use crate::event::{ListedAttempt, ListedEnd, ListedOutcome};
 use crate::message::{AttemptEnd, AttemptId, AttemptOutcome};
 use crate::Millis;
 
@@ -15,8 +15,10 @@
 pub(super) struct Listing<'a> {
     /// When it was asked for.
     pub(super) asked: Millis,
+    /// The target's clock.
+    pub(super) clock: Millis,
     /// What runs there.
-    pub(super) running: &'a [AttemptId],
+    pub(super) running: &'a [ListedAttempt],
     /// Ends that weren't acknowledged before.
     pub(super) ended: &'a [ListedEnd],
 }
@@ -37,18 +39,21 @@
             self.lease.acknowledged = self.lease.acknowledged.max(end.number);
             reports.extend(self.take_end(now, end));
         }
-        for id in listing.running {
-            self.confirm(now, id);
+        for listed in listing.running {
+            self.confirm(now, &listed.id);
+            self.observe_progress(listed, listing.clock);
         }
-        let over = self.attempts.iter().filter(|(id, attempt)| {
-            attempt.would_be_listed(listing.asked) && !listing.running.contains(id)
-        });
+        let is_listed = |id: &AttemptId| listing.running.iter().any(|listed| listed.id == *id);
+        let over = self
+            .attempts
+            .iter()
+            .filter(|(id, attempt)| attempt.would_be_listed(listing.asked) && !is_listed(id));
         let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
         for id in over {
             reports.extend(self.end(now, &id, AttemptOutcome::Lost, EndEvidence::NotListed));
         }
         let mut running = listing.running.iter();
-        let own_only = running.all(|id| self.attempts.contains_key(id));
+        let own_only = running.all(|listed| self.attempts.contains_key(&listed.id));
         self.lease.confirmed(now, own_only || !settles);
         reports
     }
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -160,7 +160,7 @@
         self.for_each_active(|target| target.expire_reservation(now));
         self.forget_unlisted(now);
         self.end_expired(now);
-        self.stop_overruns(now);
+        self.stop_hopeless(now);
         self.send_stops(now);
     }
 
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -63,6 +63,7 @@
             }) => {
                 let listing = Listing {
                     asked,
+                    clock,
                     running: &running,
                     ended: &ended,
                 };
@@ -136,6 +137,7 @@
             Ok(TargetReply::Accepted { clock } | TargetReply::Listing { clock, .. }) => {
                 target.heard_clock(now, clock);
                 target.confirm(now, id);
+                target.begun(id, clock);
                 None
             }
             Ok(TargetReply::StartDeadlinePassed { clock }) => {
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -99,24 +99,24 @@
         self.send_stops(now);
     }
 
-    /// Stops attempts that overrun, and suspends their targets.
-    pub(super) fn stop_overruns(&mut self, now: Millis) {
-        let mut stopping = Vec::new();
-        for target_id in &self.active {
-            let target = self.targets.get_mut(target_id);
+    /// Stops attempts that overrun or stand still, and suspends their targets.
+    pub(super) fn stop_hopeless(&mut self, now: Millis) {
+        for target_id in self.active.clone() {
+            let target = self.targets.get_mut(&target_id);
             let target = target.expect("active targets are known");
-            let overruns = target.overruns(now);
-            if !overruns.is_empty() {
+            let hopeless = target.hopeless(now);
+            if !hopeless.is_empty() {
                 target.health.suspend(now);
             }
-            for id in overruns {
-                if target.request_stop(&id, true) {
-                    let target = target_id.clone();
-                    stopping.push(Stopping { target, id });
-                }
+            for (id, reason) in hopeless {
+                target.request_stop(&id, true);
+                self.actions.push(Action::Record(Decision::AttemptStopping {
+                    id,
+                    target: target_id.clone(),
+                    reason,
+                }));
             }
         }
-        self.record_stops(stopping, StopReason::Overrun);
     }
 
     fn record_stops(&mut self, stopping: Vec<Stopping>, reason: StopReason) {
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -5,9 +5,11 @@
 
 use gannetridge_wire::Name;
 
-use crate::event::{CallId, TargetEntry};
+use crate::decision::StopReason;
+use crate::event::{CallId, ListedAttempt, TargetEntry};
 use crate::message::{AttemptId, FreeResources, TaskOrder};
 use crate::rules::leases::{least_on_target_clock, Times};
+use crate::rules::progress::Progress;
 use crate::rules::target_choice::{self, Candidate};
 use crate::rules::target_health::TargetHealth;
 use crate::spec::Resources;
@@ -202,6 +204,21 @@
         }
     }
 
+    /// Records that the target began an attempt, at a time of its clock.
+    pub(super) fn begun(&mut self, id: &AttemptId, clock: Millis) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.progress.get_or_insert(Progress::begun(clock));
+        }
+    }
+
+    /// Records how far a listing says that an attempt has got.
+    pub(super) fn observe_progress(&mut self, listed: &ListedAttempt, clock: Millis) {
+        let attempt = self.attempts.get_mut(&listed.id);
+        if let (Some(attempt), Some(percent)) = (attempt, listed.percent) {
+            attempt.observe_progress(percent, clock);
+        }
+    }
+
     /// Has an attempt stopped whose start had no reply: it may run.
     pub(super) fn doubt(&mut self, id: &AttemptId) {
         if let Some(attempt) = self.attempts.get_mut(id) {
@@ -254,12 +271,20 @@
             || attempts.any(|attempt| attempt.stop != StopStage::Wanted)
     }
 
-    /// Returns the attempts that have run far longer than estimated.
-    pub(super) fn overruns(&self, now: Millis) -> Vec<AttemptId> {
-        let attempts = self.attempts.iter().filter(|(_, attempt)| {
+    /// Returns the attempts that are to be tried elsewhere, and why.
+    pub(super) fn hopeless(&self, now: Millis) -> Vec<(AttemptId, StopReason)> {
+        let wanted = self.attempts.iter();
+        let wanted = wanted.filter(|(_, attempt)| attempt.stop == StopStage::Wanted);
+        let hopeless = wanted.filter_map(|(id, attempt)| {
             let allowed = self.health.overrun_after_ms(attempt.estimate_ms);
-            attempt.stop == StopStage::Wanted && now > attempt.started + allowed
+            if attempt.stalled {
+                Some((id.clone(), StopReason::Stalled))
+            } else if now > attempt.started + allowed {
+                Some((id.clone(), StopReason::Overrun))
+            } else {
+                None
+            }
         });
-        attempts.map(|(id, _)| id.clone()).collect()
+        hopeless.collect()
     }
 }
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)]
 
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
-use gannetridge_dispatcher_core::event::{ListedEnd, ListedOutcome, Submit, TargetEntry};
+use gannetridge_dispatcher_core::event::{
+    ListedAttempt, ListedEnd, ListedOutcome, Submit, TargetEntry,
+};
 use gannetridge_dispatcher_core::message::{
     AttemptId, Envelope, FreeResources, HeartbeatReply, HostInfo, Reply, ReplyBody, Request,
 };
@@ -215,7 +217,7 @@
     pub fn listing(&mut self, call: CallId, running: &[AttemptId], ended: &[ListedEnd]) {
         let reply = TargetReply::Listing {
             clock: self.now + 500_000,
-            running: running.to_vec(),
+            running: running.iter().map(without_progress).collect(),
             ended: ended.to_vec(),
         };
         self.target_reply(call, reply);
@@ -343,6 +345,13 @@
     }
 }
 
+fn without_progress(id: &AttemptId) -> ListedAttempt {
+    ListedAttempt {
+        id: id.clone(),
+        percent: None,
+    }
+}
+
 pub fn ended(number: u64, key: &AttemptId, outcome: ListedOutcome) -> ListedEnd {
     ListedEnd {
         number,
--- a/crates/dispatcher-core/tests/target_leases.rs
+++ b/crates/dispatcher-core/tests/target_leases.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use gannetridge_dispatcher_core::event::{ListedOutcome, SendFailure, TargetChange};
-use gannetridge_dispatcher_core::{Event, TargetCall, TargetReply};
+use gannetridge_dispatcher_core::event::{ListedAttempt, ListedOutcome, SendFailure, TargetChange};
+use gannetridge_dispatcher_core::message::AttemptId;
+use gannetridge_dispatcher_core::{Event, Millis, TargetCall, TargetReply};
 use support::{case, ended, step, target, Rig};
 
 const ID: &str = "5c0e7a21d94b36f8";
@@ -274,3 +275,66 @@
         }
     }
 );
+
+/// Lists one attempt as running with its progress, at a time of the target's clock.
+fn progress(rig: &mut Rig, id: &AttemptId, percent: u8, clock: Millis) {
+    for (call, _) in rig.renewals() {
+        let reply = TargetReply::Listing {
+            clock,
+            running: vec![ListedAttempt {
+                id: id.clone(),
+                percent: Some(percent),
+            }],
+            ended: Vec::new(),
+        };
+        rig.target_reply(call, reply);
+    }
+    rig.pass(10);
+}
+
+/// A host with two targets, a task that runs on one of them, and the clock of its start.
+fn running(estimate_ms: Millis) -> (Rig, AttemptId, Millis) {
+    let mut rig = Rig::holding_targets(&[target("one", 16), target("two", 16)]);
+    rig.submit(1, ID, vec![step(1, 7_000, estimate_ms)], 3_000);
+    let (call, _, id) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    rig.pass(10);
+    (rig, id, clock)
+}
+
+case!(an_attempt_that_stands_still_is_tried_elsewhere, {
+    // Before, it was given up after 950 ms: four times its estimate and 150 ms.
+    let (mut rig, id, clock) = running(200);
+    progress(&mut rig, &id, 0, clock + 90);
+    assert!(rig.stops().is_empty(), "it may just have begun");
+    progress(&mut rig, &id, 0, clock + 110);
+    assert_eq!(rig.stops(), [id]);
+});
+
+case!(a_slow_attempt_does_not_stand_still, {
+    let (mut rig, id, clock) = running(200);
+    for (percent, after) in [(3, 50), (11, 150), (18, 250), (25, 350)] {
+        progress(&mut rig, &id, percent, clock + after);
+        assert!(rig.stops().is_empty(), "{percent} % after {after} ms");
+    }
+});
+
+case!(a_listing_that_comes_late_shows_no_standstill, {
+    let (mut rig, id, clock) = running(200);
+    progress(&mut rig, &id, 10, clock + 20);
+    // What was listed 30 ms later is on its way for long.
+    rig.pass(300);
+    progress(&mut rig, &id, 10, clock + 50);
+    assert!(rig.stops().is_empty());
+});
+
+case!(a_target_that_tells_no_progress_is_waited_for, {
+    let (mut rig, id, _) = running(200);
+    rig.pass(200);
+    for (call, _) in rig.renewals() {
+        rig.listing(call, std::slice::from_ref(&id), &[]);
+    }
+    rig.pass(10);
+    assert!(rig.stops().is_empty());
+});
--- a/crates/dispatcher-sim/src/target.rs
+++ b/crates/dispatcher-sim/src/target.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use gannetridge_dispatcher_core::event::{ListedEnd, ListedOutcome, TargetEntry, TargetReply};
+use gannetridge_dispatcher_core::event::{
+    ListedAttempt, ListedEnd, ListedOutcome, TargetEntry, TargetReply,
+};
 use gannetridge_dispatcher_core::message::AttemptId;
 use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_dispatcher_core::{Millis, StartOrder};
@@ -27,7 +29,9 @@
 pub struct Attempt {
     /// What it takes.
     pub resources: Resources,
-    /// What is left of its work.
+    /// Its work.
+    pub work_ms: f64,
+    /// What is left of it.
     pub left_ms: f64,
     /// Whether it fails at its end.
     pub fails: bool,
@@ -60,6 +64,14 @@
     advanced: Millis,
 }
 
+fn listed((id, attempt): (&AttemptId, &Attempt)) -> ListedAttempt {
+    let done = 1.0 - attempt.left_ms / attempt.work_ms;
+    ListedAttempt {
+        id: id.clone(),
+        percent: Some((done * 100.0) as u8),
+    }
+}
+
 /// What happened to a run, for the checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ended {
@@ -234,7 +246,7 @@
     pub fn listing(&self, now: Millis) -> TargetReply {
         TargetReply::Listing {
             clock: self.clock(now) as Millis,
-            running: self.attempts.keys().cloned().collect(),
+            running: self.attempts.iter().map(listed).collect(),
             ended: self.ended.clone(),
         }
     }
--- a/crates/dispatcher-sim/src/world/network.rs
+++ b/crates/dispatcher-sim/src/world/network.rs
@@ -205,9 +205,11 @@
         let job = order.id.task.split('.').next().unwrap_or_default();
         let (resources, estimate) = self.resources[job];
         let spread: f64 = self.rng.random_range(-1.0..1.0) + self.rng.random_range(-0.5..0.5);
+        let work_ms = estimate as f64 * (spread * 0.5).exp();
         let attempt = Attempt {
             resources,
-            left_ms: estimate as f64 * (spread * 0.5).exp(),
+            work_ms,
+            left_ms: work_ms,
             fails: self.rng.random_bool(0.002),
         };
         let target = &mut self.targets[index];
