Hear news of targets again that an older answer of the store overtook

Cause: read in the code while draining halls were guarded against it: a read of the store that is on its way while a peer tells newer news is applied after them, and reading then goes on after the newer version. What the newer news said, that a target leaves among it, never comes again. Change: the list counts as known up to the older answer's version. The test failed first (12 instead of 11).

--- a/crates/dispatcher-core/src/store_news.rs
+++ b/crates/dispatcher-core/src/store_news.rs
@@ -151,6 +151,9 @@
                     self.kept_after = version;
                 }
                 self.targets.advance(version, at);
+                // An answer that newer news overtook was applied after them: they are to be
+                // read or told again.
+                self.targets.version = version;
                 for change in std::mem::take(&mut self.unversioned) {
                     self.changes.push_back(Change { version, change });
                 }
--- a/crates/dispatcher-core/tests/store_news.rs
+++ b/crates/dispatcher-core/tests/store_news.rs
@@ -397,3 +397,26 @@
         assert_eq!(rig.host.store_reading(rig.now), StoreReading::Stale);
     }
 );
+
+case!(
+    an_answer_that_was_overtaken_by_newer_news_has_them_told_again,
+    {
+        let mut rig = told_host();
+        let mut leaving = target("a", 16);
+        leaving.leaving = true;
+        let newer = ListNews::Changes(vec![TargetChange::There(leaving)]);
+        tell_next(&mut rig, news(12, 0, newer));
+        // A read of the store was on its way meanwhile.
+        rig.event(Event::TargetsChanged(vec![there("a")]));
+        rig.event(Event::StoreAnswered {
+            table: StoreTable::Targets,
+            version: 11,
+            age_ms: 0,
+        });
+        // Before, reading went on after version 12, and the target never left here.
+        assert_eq!(rig.host.store_version(StoreTable::Targets), 11);
+        rig.pass(400);
+        let (_, _, after) = questions(&mut rig).pop().expect("it asks");
+        assert_eq!(after, 11);
+    }
+);
