Give what targets may run tasks, and the pace of reading, files of their own

Pure moves: targets/usable.rs and store_pace.rs; one order in the core's tests instead of two of the same letters.

--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -17,23 +17,20 @@
 mod starts;
 mod stops;
 mod target;
+mod usable;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::sync::Arc;
 
 use gannetridge_wire::Name;
 
 use crate::action::{Action, TargetCall};
 use crate::decision::{BeliefSource, Decision, TargetBelief};
 use crate::event::CallId;
-use crate::message::{AttemptId, FreeResources, TaskOrder};
+use crate::message::AttemptId;
 use crate::rules::congestion::StartReplies;
 use crate::rules::draining::Halls;
 use crate::rules::leases::Times;
-use crate::rules::target_choice;
 use crate::settings::{Safeguards, Settings};
-use crate::spec::Resources;
 use crate::Millis;
 
 pub use attempt::{EndReport, Owner, OwnerSession};
@@ -41,20 +38,13 @@
 use lease::Tokens;
 use list::StoreView;
 use target::Target;
+pub use usable::Runnable;
 
 /// How long a reply from a target is awaited, its own waiting aside, in ms. Commit
 /// 747c58b: 100 instead of 200.
 const REPLY_WAIT_MS: Millis = 100;
 /// Between calls to a target that doesn't answer, in ms. Chosen, not measured.
 const SILENT_RETRY_MS: Millis = 100;
-/// How long a host that should leave a target to another waits for it to be empty
-/// before it starts nothing more there, in ms. Chosen, not measured.
-const RELEASE_PATIENCE_MS: Millis = 1_000;
-
-/// The most targets with free resources that a reply tells of: a peer hands over what finds
-/// no target in its own hall, and hears again with its next request. Each takes some 20 bytes
-/// of every reply; with nine targets a host they were a third of a reply. Chosen, not measured.
-const FREE_TOLD: usize = 4;
 
 /// A call that is on its way to a target.
 #[derive(Clone, Debug)]
@@ -76,17 +66,6 @@
     Stop(AttemptId),
 }
 
-/// Where a task could be run, once there are the resources.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Runnable {
-    /// On a known target whose hall isn't draining; or no target is known yet.
-    Yes,
-    /// On targets of draining halls only.
-    InDrainingHalls,
-    /// On no known target.
-    Nowhere,
-}
-
 /// How many targets there are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetCounts {
@@ -217,74 +196,11 @@
         self.leased.iter().cloned().collect()
     }
 
-    /// Returns the free resources, an entry for each usable target with some, the freest
-    /// [`FREE_TOLD`].
-    #[must_use]
-    pub fn free(&self, now: Millis) -> Vec<FreeResources> {
-        let usable = self.usable_targets(now);
-        let unreserved = usable.filter(|target| !target.is_reserved());
-        let free = unreserved.map(Target::free_in_pool);
-        let mut free: Vec<FreeResources> = free.filter(|free| free.resources.cpu > 0).collect();
-        free.sort_by_key(|free| Reverse(free.resources.cpu));
-        free.truncate(FREE_TOLD);
-        free
-    }
-
-    /// Returns whether any target of this host has such resources free.
-    #[must_use]
-    pub fn may_fit(&self, now: Millis, resources: &Resources) -> bool {
-        let mut leased = self.leased_targets();
-        leased.any(|target| target.free().fits(resources) && self.is_usable(now, target))
-    }
-
-    /// Returns where an order could be run, once there are the resources.
-    #[must_use]
-    pub fn runnable(&self, order: &TaskOrder) -> Runnable {
-        if self.targets.is_empty() {
-            return Runnable::Yes;
-        }
-        let mut only_draining = false;
-        for target in self.targets.values() {
-            if !target_choice::could_run(&target.entry, order) {
-                continue;
-            }
-            if !self.is_draining(&target.entry.hall) {
-                return Runnable::Yes;
-            }
-            only_draining = true;
-        }
-        if only_draining {
-            Runnable::InDrainingHalls
-        } else {
-            Runnable::Nowhere
-        }
-    }
-
     /// Waits longer for replies by so many ms.
     pub fn set_added_wait(&mut self, added_ms: Millis) {
         self.added_wait = added_ms;
     }
 
-    /// Takes note of the halls that get no new tasks from now on.
-    pub fn set_draining(&mut self, halls: &Halls) {
-        let before = std::mem::replace(&mut self.draining, Arc::clone(halls));
-        for id in self.leased.clone() {
-            let target = self.targets.get_mut(&id).expect("leased targets are known");
-            let hall = &target.entry.hall;
-            let state = match (before.contains(hall), halls.contains(hall)) {
-                (false, true) => TargetBelief::HallDraining,
-                (true, false) => TargetBelief::HallServing,
-                (true, true) | (false, false) => continue,
-            };
-            target.drop_reservation();
-            self.record_target(&id, state, BeliefSource::Operator);
-        }
-    }
-
-    fn is_draining(&self, hall: &Name) -> bool {
-        self.safeguards.draining_is_heeded && self.draining.contains(hall)
-    }
-
     /// Returns the targets for which anything may be due.
     fn active_targets(&self) -> impl Iterator<Item = (&Name, &Target)> {
         self.active.iter().map(|id| (id, &self.targets[id]))
@@ -312,26 +228,6 @@
         self.leased.iter().map(|id| &self.targets[id])
     }
 
-    /// Returns the targets of this host on which tasks may be started.
-    fn usable_targets(&self, now: Millis) -> impl Iterator<Item = &Target> {
-        let leased = self.leased_targets();
-        leased.filter(move |target| self.is_usable(now, target))
-    }
-
-    /// Returns whether tasks may be started on a target: it is listed and stays, as does its
-    /// hall, it answers and is well, and it isn't to be left to another host.
-    fn is_usable(&self, now: Millis, target: &Target) -> bool {
-        let listed = target.unlisted_since.is_none() || !self.store.list_is_settled(now);
-        let leaving = target.entry.leaving && self.safeguards.leaving_is_heeded;
-        let stays = !leaving && !self.is_draining(&target.entry.hall);
-        listed && stays && target.takes_task(now) && !self.is_being_released(now, target)
-    }
-
-    fn is_being_released(&self, now: Millis, target: &Target) -> bool {
-        let since = self.assignment.misassigned_since(&target.entry.id);
-        since.is_some_and(|since| since + RELEASE_PATIENCE_MS <= now)
-    }
-
     /// Calls a target; `id` is a known target.
     fn call(&mut self, id: &Name, purpose: Purpose, order: TargetCall, wait_ms: Millis) -> CallId {
         self.last_call += 1;
--- a/crates/dispatcher-core/tests/draining.rs
+++ b/crates/dispatcher-core/tests/draining.rs
@@ -4,11 +4,11 @@
 
 use gannetridge_dispatcher_core::event::{HallChange, ListedOutcome, TargetEntry};
 use gannetridge_dispatcher_core::message::{
-    AttemptId, Demand, HostInfo, Priority, PriorityClass, ReplyBody, Request, TaskOrder,
+    Demand, HostInfo, Priority, PriorityClass, ReplyBody, Request,
 };
 use gannetridge_dispatcher_core::rules::draining::DrainingHalls;
 use gannetridge_dispatcher_core::{Answer, Event, TargetReply};
-use support::{case, ended, peer_info, resources, step, target, Rig};
+use support::{case, ended, order, peer_info, resources, step, target, Rig};
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -45,23 +45,6 @@
     rig
 }
 
-fn order(task: &str) -> TaskOrder {
-    TaskOrder {
-        id: AttemptId {
-            task: task.into(),
-            attempt: 1,
-        },
-        specification: "work".into(),
-        pool: "pool".into(),
-        resources: resources(7_000),
-        estimate_ms: 60,
-        requirement: None,
-        rack: None,
-        spread: None,
-        avoid: Vec::new(),
-    }
-}
-
 case!(nothing_starts_in_a_draining_hall, {
     let mut rig = north_and_south();
     drain(&mut rig, 5, &["north"]);
@@ -108,7 +91,7 @@
 case!(a_peers_tasks_are_not_started_in_a_draining_hall, {
     let mut rig = north_and_south();
     drain(&mut rig, 5, &["north"]);
-    rig.peer_asks(1, Request::Place(vec![order("0123456789abcdef.0.0.0")]));
+    rig.peer_asks(1, Request::Place(vec![order("0123456789abcdef.0.0.0", 60)]));
     let (_, reply) = rig.replies.last().expect("it replies");
     assert!(matches!(&reply.body, ReplyBody::Placed(started) if started.is_empty()));
     assert!(reply.free.is_empty(), "nothing is advertised");
--- a/crates/dispatcher-core/tests/peers.rs
+++ b/crates/dispatcher-core/tests/peers.rs
@@ -3,11 +3,9 @@
 mod support;
 
 use gannetridge_dispatcher_core::event::SendFailure;
-use gannetridge_dispatcher_core::message::{
-    AttemptId, HeartbeatReply, ReplyBody, Request, TaskOrder,
-};
+use gannetridge_dispatcher_core::message::{HeartbeatReply, ReplyBody, Request};
 use gannetridge_dispatcher_core::{Answer, Event, TargetReply};
-use support::{case, peer_info, step, target, Rig};
+use support::{case, order, peer_info, step, target, Rig};
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -24,24 +22,6 @@
     rig
 }
 
-/// An order in the peer's name.
-fn order(task: &str) -> TaskOrder {
-    TaskOrder {
-        id: AttemptId {
-            task: task.into(),
-            attempt: 1,
-        },
-        specification: "work".into(),
-        pool: "pool".into(),
-        resources: support::resources(7_000),
-        estimate_ms: 900,
-        requirement: None,
-        rack: None,
-        spread: None,
-        avoid: Vec::new(),
-    }
-}
-
 case!(
     a_silent_peers_targets_are_acquired_after_two_owner_leases,
     {
@@ -135,7 +115,7 @@
 
 case!(tasks_are_started_only_under_a_valid_owner_lease, {
     let mut rig = Rig::holding_targets(&[target("near", 16)]);
-    let order = order("00000000000000aa.0.0.0");
+    let order = order("00000000000000aa.0.0.0", 900);
     rig.peer_asks(1, Request::Place(vec![order.clone()]));
     assert!(matches!(rig.replies[0].1.body, ReplyBody::Placed(_)));
     assert_eq!(rig.starts().len(), 1);
@@ -191,7 +171,7 @@
 
 case!(ends_that_were_not_heard_are_told_again, {
     let mut rig = Rig::holding_targets(&[target("near", 16)]);
-    let order = order("00000000000000aa.0.0.0");
+    let order = order("00000000000000aa.0.0.0", 900);
     rig.peer_asks(1, Request::Place(vec![order.clone()]));
     let start = rig.starts().remove(0);
     rig.target_reply(
@@ -220,7 +200,7 @@
 
 case!(attempts_of_a_restarted_peers_last_life_are_stopped, {
     let mut rig = Rig::holding_targets(&[target("near", 16)]);
-    let order = order("00000000000000aa.0.0.0");
+    let order = order("00000000000000aa.0.0.0", 900);
     rig.peer_asks(1, Request::Place(vec![order.clone()]));
     let start = rig.starts().remove(0);
     let clock = rig.now + 500_000;
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -7,6 +7,7 @@
 };
 use gannetridge_dispatcher_core::message::{
     AttemptId, Envelope, FreeResources, HeartbeatReply, HostInfo, Reply, ReplyBody, Request,
+    TaskOrder,
 };
 use gannetridge_dispatcher_core::spec::{JobSpec, Resources, StepSpec};
 use gannetridge_dispatcher_core::{
@@ -92,6 +93,24 @@
     }
 }
 
+/// An order in a peer's name.
+pub fn order(task: &str, estimate_ms: Millis) -> TaskOrder {
+    TaskOrder {
+        id: AttemptId {
+            task: task.into(),
+            attempt: 1,
+        },
+        specification: "work".into(),
+        pool: "pool".into(),
+        resources: resources(7_000),
+        estimate_ms,
+        requirement: None,
+        rack: None,
+        spread: None,
+        avoid: Vec::new(),
+    }
+}
+
 pub fn peer_info() -> HostInfo {
     HostInfo {
         name: "peer".into(),
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -23,5 +23,6 @@
 mod reload;
 pub mod settings;
 mod signals;
+pub mod store_pace;
 pub mod store_task;
 pub mod traffic;
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -25,7 +25,8 @@
 use crate::reload::Reloader;
 use crate::settings::{LinkSettings, Settings};
 use crate::signals::Signals;
-use crate::store_task::{announce, follow, pause_between_reads, Waits};
+use crate::store_pace::pause_between_reads;
+use crate::store_task::{announce, follow, Waits};
 
 /// How long the last answers have to leave the sockets. Chosen, not measured.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
--- a/crates/dispatcher/tests/store.rs
+++ b/crates/dispatcher/tests/store.rs
@@ -3,7 +3,8 @@
 use gannetridge_dispatcher::platform_client::{StoreError, Table};
 use std::time::Duration;
 
-use gannetridge_dispatcher::store_task::{pause_after, pause_between_reads, Progress, Read};
+use gannetridge_dispatcher::store_pace::{pause_after, pause_between_reads};
+use gannetridge_dispatcher::store_task::{Progress, Read};
 
 macro_rules! case {
     ($name:ident, $body:block) => {
