--- a/crates/dispatcher-core/src/rules/congestion.rs
+++ b/crates/dispatcher-core/src/rules/congestion.rs
@@ -7,7 +7,9 @@
 //! for longer: an overload leads to fewer messages, and isn't taken for the silence of targets.
 //!
 //! **Inputs.** Times in ms from requests to peers until their replies; of a request without
-//! reply, the time that was waited. **Measured.** See the constants. **Gives up.** Tasks at a
+//! reply, the time that was waited. **Measured**, played days on links of 2 Mbit/s, no processor
+//! time charged, one play each: -0.088 to 0.088, -0.311 to -0.164 and -0.047 to 0.081 worth; on links
+//! of 25 Mbit/s and more no difference. **Gives up.** Tasks at a
 //! host whose link is full hear of free resources later; a target that falls silent then is
 //! given up later.
 
--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -8,7 +8,9 @@
 //! **Inputs.** Percent of the work, the target's own clock and the estimate in ms: on one
 //! clock, so that a listing that was long on its way stalls nothing. **Measured.** Of attempts
 //! on a played day the progress of well ones grew evenly to 100, that of hung ones stayed at
-//! 0 for as long as their targets hung. **Gives up.** Attempts shorter than a listing's round
+//! 0 for as long as their targets hung. Days on which a tenth of the targets hang for 5.5 s:
+//! 0.910 and 0.910 to 0.962 and 0.968 worth (two seeds in pairs, no processor time charged, with
+//! the changes of [`super::congestion`]). **Gives up.** Attempts shorter than a listing's round
 //! are judged after their time.
 
 use crate::Millis;
--- a/crates/dispatcher-core/src/rules/target_health.rs
+++ b/crates/dispatcher-core/src/rules/target_health.rs
@@ -20,7 +20,8 @@
 //! a voice; after 5.5 times and 250 ms no different. Moving attempts off targets that
 //! others show to be slow, and suspending those: worse, 0.833 to 0.826 (standard error
 //! 0.003, 15 days in pairs), since the targets were missed once they were well again.
-//! **Gives up.** A task on a hung target waits for 4 times its estimate.
+//! **Gives up.** A task on a hung target that tells no progress waits for 4 times its
+//! estimate; where it does, see [`super::progress`].
 
 use crate::Millis;
 
