--- a/crates/dispatcher-core/src/rules/congestion.rs
+++ b/crates/dispatcher-core/src/rules/congestion.rs
@@ -1,9 +1,9 @@
 //! How full this host's own link is, and what it says and waits for then.
 //!
-//! **Rule.** The least time that any reply of a peer took in the last [`WINDOW_MS`] is this
+//! **Rule.** The least time that any reply of a peer took in the last `WINDOW_MS` is this
 //! host's own delay: a peer that is slow delays its own replies only, a full link or a lack
 //! of processor time here delays all of them. As far as the delay is more than
-//! [`ORDINARY_MS`], demands are repeated more rarely, and replies and reservations are waited
+//! `ORDINARY_MS`, demands are repeated more rarely, and replies and reservations are waited
 //! for longer: an overload leads to fewer messages, and isn't taken for the silence of targets.
 //!
 //! **Inputs.** Times in ms from requests to peers until their replies; of a request without
--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -1,8 +1,8 @@
 //! Whether an attempt stands still, by what its target says of its progress.
 //!
 //! **Rule.** Listings tell what part of its work an attempt has done. One that did nothing for
-//! [`LEAST_STALL_MS`], and for as long as a target that is [`SLOWEST`] times slower than
-//! estimated takes for [`VISIBLE_PERCENT`] of the work, is *stalled*: it is stopped and tried
+//! `LEAST_STALL_MS`, and for as long as a target that is `SLOWEST` times slower than
+//! estimated takes for `VISIBLE_PERCENT` of the work, is *stalled*: it is stopped and tried
 //! elsewhere, and its target is suspended as for an overrun. A slow attempt isn't stalled.
 //!
 //! **Inputs.** Percent of the work, the target's own clock and the estimate in ms: on one
