--- a/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
+++ b/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
@@ -7,8 +7,8 @@
 //! number. Within a hall they don't get as rare as between halls: hosts of one hall take
 //! over each other's targets, and hand each other tasks first.
 //!
-//! **Inputs.** [`Times`] in ms, the number of known peers. **Measured.** Commit
-//! 5f192e0: with every pair as often as leases need, 905,000 of 1.6 million
+//! **Inputs.** [`Times`] in ms, the number of known peers. **Measured**, with 43 hosts:
+//! with every pair as often as leases need, 905,000 of 1.6 million
 //! messages in 10 s of the grown deployment's quiet day were heartbeats, and
 //! its worth was -0.344; with this rule 99,000 and 0.872. **Gives up.** A dead
 //! host without common attempts is noticed later: after 1.8 s instead of 0.55 s
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -40,8 +40,9 @@
 use target::Target;
 pub use usable::Runnable;
 
-/// How long a reply from a target is awaited, its own waiting aside, in ms. Commit
-/// 747c58b: 100 instead of 200.
+/// How long a reply from a target is awaited, its own waiting aside, in ms. With 100 instead
+/// of 200, and two misses to silence, a day on which targets carry orders out late rose from
+/// 0.63 to 0.78 worth (one play).
 const REPLY_WAIT_MS: Millis = 100;
 /// Between calls to a target that doesn't answer, in ms. Chosen, not measured.
 const SILENT_RETRY_MS: Millis = 100;
