Take targets out of use whose entries can't be read

A whole list dropped such rows without a word.

Change: an entry has to hold all fields that targets write, each of its type, a known state and an address that can be called. Any other is an unusable entry with its reason: a known target gets no new tasks as one that leaves, isn't acquired, and is back when its entry reads well; it is told to other hosts like any change, in forms of their own, so that earlier releases can read the list where all entries are well. Targets of pools that the configuration doesn't name aren't called. One log line for each answer and reason, and a counter.

--- a/crates/dispatcher-core/src/configuration.rs
+++ b/crates/dispatcher-core/src/configuration.rs
@@ -3,6 +3,8 @@
 //! A version is one value that replaces the one before it whole. Hosts send it to each
 //! other, so fields stand by position: see [`crate::message`].
 
+use std::collections::HashSet;
+
 use gannetridge_wire::Name;
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +64,13 @@
 }
 
 impl Configuration {
+    /// Returns the pools behind its queues.
+    #[must_use]
+    pub fn pools(&self) -> HashSet<Name> {
+        let queues = self.queues.iter();
+        queues.map(|queue| queue.pool.clone()).collect()
+    }
+
     /// Finds the queue with the longest prefix of `path` on `host`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -8,8 +8,8 @@
 use crate::Millis;
 
 pub use texts::{
-    BeliefSource, ConfigurationSource, EndCause, EndEvidence, PeerState, Rejection, StopReason,
-    StoreReading, TargetBelief,
+    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
+    StopReason, StoreReading, TargetBelief,
 };
 
 /// A decision, or a change of what the host believes.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -4,6 +4,8 @@
 //! these texts, and metrics carry them as labels, so they stay when a variant gets a better
 //! name. `docs/OPERATIONS.md` leads from each of them to the rule behind it.
 
+use serde::{Deserialize, Serialize};
+
 /// Declares an enum whose variants have a text in logs and metrics.
 macro_rules! named {
     ($(#[$meta:meta])* $name:ident { $($(#[$doc:meta])* $variant:ident = $text:literal,)+ }) => {
@@ -115,11 +117,32 @@
     }
 }
 
+named! {
+    /// Why an entry of the platform's list names no target to use.
+    #[derive(PartialOrd, Ord, Serialize, Deserialize)]
+    EntryFault {
+        /// Its bytes are in another encoding than the platform's.
+        Encoding = "encoding",
+        /// They aren't a document of the platform's form.
+        Syntax = "syntax",
+        /// A field is missing, stands there twice or has another type.
+        Fields = "fields",
+        /// Its state isn't one that is known.
+        State = "state",
+        /// Nothing can be called under its id and address.
+        Address = "address",
+    }
+}
+
 named! {
     /// What a host came to believe of a target.
     TargetBelief {
         /// The list shows it as leaving.
         Leaving = "leaving",
+        /// Its entry names no target to use.
+        Unusable = "unusable",
+        /// Its entry names a target again.
+        Usable = "usable",
         /// Its hall is draining.
         HallDraining = "hall draining",
         /// Its hall no longer drains.
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -201,9 +201,9 @@
                 self.store_news.list_changed(&changes);
                 self.targets.list_changed(now, changes);
             }
-            Event::TargetsRead(entries) => {
-                self.store_news.list_read(&entries);
-                self.targets.list_read(now, entries);
+            Event::TargetsRead(list) => {
+                self.store_news.list_read(&list);
+                self.targets.list_read(now, list);
             }
             Event::StoreAnswered {
                 table,
@@ -236,6 +236,7 @@
     fn use_configuration(&mut self, configuration: Configuration, from: ConfigurationSource) {
         if configuration.version > self.version() || self.configuration.is_none() {
             let version = configuration.version;
+            self.targets.set_pools(configuration.pools());
             self.configuration = Some(configuration);
             self.record(Decision::Configuration { version, from });
         }
--- a/crates/dispatcher-core/src/dispatcher/store.rs
+++ b/crates/dispatcher-core/src/dispatcher/store.rs
@@ -122,7 +122,8 @@
         }
         if self.store_news.told(asked, &news) {
             match news.list.clone() {
-                ListNews::Whole(entries) => self.targets.list_read(now, entries),
+                ListNews::Whole(targets) => self.targets.list_read(now, targets.into()),
+                ListNews::WholeWithUnusable(list) => self.targets.list_read(now, list),
                 ListNews::Changes(changes) => self.targets.list_changed(now, changes),
             }
             self.targets.told_settled(news.settled);
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
-use crate::event::{TargetChange, TargetEntry};
+use crate::event::{TargetChange, TargetEntry, TargetList};
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -336,6 +336,21 @@
     Whole(Vec<TargetEntry>),
     /// What changed after the version that the asking host knows, in order.
     Changes(Vec<TargetChange>),
+    /// All of it, where it has unusable entries. Hosts of earlier releases can't read this:
+    /// they read the list from the store instead.
+    WholeWithUnusable(TargetList),
+}
+
+impl ListNews {
+    /// Returns the whole list in the form that the most releases can read.
+    #[must_use]
+    pub fn whole(list: TargetList) -> Self {
+        if list.unusable.is_empty() {
+            Self::Whole(list.targets)
+        } else {
+            Self::WholeWithUnusable(list)
+        }
+    }
 }
 
 /// The reply to a heartbeat.
--- a/crates/dispatcher-core/src/store_news.rs
+++ b/crates/dispatcher-core/src/store_news.rs
@@ -10,7 +10,7 @@
 
 use gannetridge_wire::Name;
 
-use crate::event::{StoreTable, TargetChange, TargetEntry};
+use crate::event::{StoreTable, TargetChange, TargetList};
 use crate::message::{ListNews, StoreNewsReply};
 use crate::rules::store_readers::Freshness;
 use crate::Millis;
@@ -61,8 +61,9 @@
     freshness: Freshness,
     targets: Known,
     configuration: Known,
-    /// The list of targets as the store or another host gave it.
-    list: BTreeMap<Name, TargetEntry>,
+    /// The list of targets as the store or another host gave it: of each id the last change,
+    /// without those that are gone.
+    list: BTreeMap<Name, TargetChange>,
     /// Its latest changes, the oldest first.
     changes: VecDeque<Change>,
     /// Changes up to this version are no longer kept.
@@ -122,20 +123,34 @@
     }
 
     /// Records the whole list.
-    pub fn list_read(&mut self, entries: &[TargetEntry]) {
-        let listed: HashSet<&Name> = entries.iter().map(|entry| &entry.id).collect();
-        let gone = self.list.keys().filter(|id| !listed.contains(id));
+    pub fn list_read(&mut self, list: &TargetList) {
+        let listed: Vec<TargetChange> = list.clone().into_changes().collect();
+        let ids: HashSet<&Name> = listed.iter().map(TargetChange::id).collect();
+        let gone = self.list.keys().filter(|id| !ids.contains(id));
         let gone: Vec<TargetChange> = gone.cloned().map(TargetChange::Gone).collect();
-        let there = entries.iter().cloned().map(TargetChange::There);
-        let changes: Vec<TargetChange> = gone.into_iter().chain(there).collect();
-        self.list_changed(&changes);
+        self.list_changed(&gone);
+        self.list_changed(&listed);
+    }
+
+    /// Returns the whole list.
+    fn whole_list(&self) -> TargetList {
+        let mut list = TargetList::default();
+        for change in self.list.values() {
+            match change {
+                TargetChange::There(entry) => list.targets.push(entry.clone()),
+                TargetChange::Unusable(entry) => list.unusable.push(entry.clone()),
+                TargetChange::Gone(_) => {}
+            }
+        }
+        list
     }
 
     /// Applies a change to the list; returns whether it says anything new.
     fn take(&mut self, change: &TargetChange) -> bool {
         match change {
-            TargetChange::There(entry) => {
-                self.list.insert(entry.id.clone(), entry.clone()).as_ref() != Some(entry)
+            TargetChange::There(_) | TargetChange::Unusable(_) => {
+                let before = self.list.insert(change.id().clone(), change.clone());
+                before.as_ref() != Some(change)
             }
             TargetChange::Gone(id) => self.list.remove(id).is_some(),
         }
@@ -190,7 +205,7 @@
     pub fn tell(&self, now: Millis, after: u64, own: OwnState) -> Option<StoreNewsReply> {
         let age_ms = self.age(now)?;
         let list = if after == 0 || after < self.kept_after {
-            ListNews::Whole(self.list.values().cloned().collect())
+            ListNews::whole(self.whole_list())
         } else {
             let changes = self.changes.iter().filter(|change| change.version > after);
             ListNews::Changes(changes.map(|change| change.change.clone()).collect())
@@ -214,7 +229,8 @@
             return false;
         }
         match &reply.list {
-            ListNews::Whole(entries) => self.list_read(entries),
+            ListNews::Whole(targets) => self.list_read(&targets.clone().into()),
+            ListNews::WholeWithUnusable(list) => self.list_read(list),
             ListNews::Changes(changes) => self.list_changed(changes),
         }
         self.known(StoreTable::Targets, reply.targets_version, at);
--- a/crates/dispatcher-core/src/targets/claims.rs
+++ b/crates/dispatcher-core/src/targets/claims.rs
@@ -3,7 +3,7 @@
 //! Owns the assignment as this host reckons it ([`crate::rules::assignment`]); what it
 //! does when another host took a target is decided by [`crate::rules::contention`].
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use gannetridge_wire::Name;
 
@@ -82,7 +82,8 @@
             };
             let may_acquire = may_acquire && target.lease.backoff_until <= now;
             let free = target.lease.is_free() && target.is_idle();
-            if free && may_acquire && !claimed(id) {
+            let usable = !target.entry_unusable && self.is_pool_named(&target.entry.pool);
+            if free && usable && may_acquire && !claimed(id) {
                 acquire.push(id.clone());
             }
         }
@@ -121,6 +122,18 @@
         self.assignment.stale = false;
     }
 
+    /// Takes note of the pools that the configuration names.
+    pub fn set_pools(&mut self, pools: HashSet<Name>) {
+        self.pools = Some(pools);
+    }
+
+    /// Returns whether a pool is named by the configuration, as far as there is one: an entry
+    /// of another names no target to use, so that nothing calls its address.
+    fn is_pool_named(&self, pool: &Name) -> bool {
+        let pools = self.pools.as_ref();
+        pools.is_none_or(|pools| pools.contains(pool))
+    }
+
     fn acquire(&mut self, now: Millis, id: &Name) {
         let token = self.tokens.next(now);
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -2,13 +2,16 @@
 //!
 //! An entry that goes missing while the store is out, or just back, says nothing: the
 //! target is used as long as it answers.
+//!
+//! An entry that is unusable takes a known target out of use as one that leaves: what runs
+//! there goes on. Of a target that isn't known it names none.
 
 use std::collections::HashSet;
 
 use gannetridge_wire::Name;
 
 use crate::decision::{BeliefSource, TargetBelief};
-use crate::event::{TargetChange, TargetEntry};
+use crate::event::{TargetChange, TargetEntry, TargetList};
 use crate::Millis;
 
 use super::target::Target;
@@ -82,17 +85,18 @@
             match change {
                 TargetChange::There(entry) => self.listed(entry),
                 TargetChange::Gone(id) => self.unlisted(now, &id),
+                TargetChange::Unusable(entry) => self.entry_unusable(&entry.id),
             }
         }
     }
 
     /// Handles the whole list.
-    pub fn list_read(&mut self, now: Millis, entries: Vec<TargetEntry>) {
-        let listed: HashSet<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
-        for entry in entries {
-            self.listed(entry);
-        }
-        let missing = self.targets.keys().filter(|id| !listed.contains(*id));
+    pub fn list_read(&mut self, now: Millis, list: TargetList) {
+        let listed: Vec<TargetChange> = list.into_changes().collect();
+        let ids = listed.iter().map(|change| change.id().clone());
+        let listed_ids: HashSet<Name> = ids.collect();
+        self.list_changed(now, listed);
+        let missing = self.targets.keys().filter(|id| !listed_ids.contains(*id));
         let missing: Vec<Name> = missing.cloned().collect();
         for id in missing {
             self.unlisted(now, &id);
@@ -107,12 +111,29 @@
             return;
         };
         let leaves = entry.leaving && !target.entry.leaving;
+        let usable_again = std::mem::take(&mut target.entry_unusable);
         target.entry = entry;
         target.unlisted_since = None;
         self.unlisted.remove(&id);
         if leaves {
             self.record_target(&id, TargetBelief::Leaving, BeliefSource::List);
         }
+        if usable_again {
+            self.record_target(&id, TargetBelief::Usable, BeliefSource::List);
+        }
+    }
+
+    /// Takes a known target out of use whose entry names none any more.
+    fn entry_unusable(&mut self, id: &Name) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.unlisted_since = None;
+        self.unlisted.remove(id);
+        if !std::mem::replace(&mut target.entry_unusable, true) {
+            target.drop_reservation();
+            self.record_target(id, TargetBelief::Unusable, BeliefSource::List);
+        }
     }
 
     fn unlisted(&mut self, now: Millis, id: &Name) {
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -91,6 +91,8 @@
     active: BTreeSet<Name>,
     /// The targets that the list doesn't show.
     unlisted: BTreeSet<Name>,
+    /// The pools that the configuration names, once there is one.
+    pools: Option<HashSet<Name>>,
     /// The halls that get no new tasks.
     draining: Halls,
     /// What is added to the time for which replies are waited for; see
@@ -121,6 +123,7 @@
             leased: BTreeSet::new(),
             active: BTreeSet::new(),
             unlisted: BTreeSet::new(),
+            pools: None,
             draining: Halls::default(),
             added_wait: 0,
             start_replies: StartReplies::default(),
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -39,6 +39,8 @@
     pub(super) entry: TargetEntry,
     /// Since when the list doesn't show it, if it doesn't.
     pub(super) unlisted_since: Option<Millis>,
+    /// Whether its entry names no target to use; `entry` is the last one that did.
+    pub(super) entry_unusable: bool,
     pub(super) lease: Lease,
     pub(super) health: TargetHealth,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
@@ -52,6 +54,7 @@
         Self {
             entry,
             unlisted_since: None,
+            entry_unusable: false,
             lease: Lease::not_held(),
             health: TargetHealth::default(),
             attempts: BTreeMap::new(),
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -109,12 +109,12 @@
         leased.filter(move |target| self.is_usable(now, target))
     }
 
-    /// Returns whether tasks may be started on a target: it is listed and stays, as does its
-    /// hall, it answers and is well, and it isn't to be left to another host.
+    /// Returns whether tasks may be started on a target: it is listed, its entry can be used, it
+    /// stays, as does its hall, it answers and is well, and it isn't to be left to another host.
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
         let listed = target.unlisted_since.is_none() || !self.store.list_is_settled(now);
         let leaving = target.entry.leaving && self.safeguards.leaving_is_heeded;
-        let stays = !leaving && !self.is_draining(&target.entry.hall);
+        let stays = !leaving && !target.entry_unusable && !self.is_draining(&target.entry.hall);
         listed && stays && target.takes_task(now) && !self.is_being_released(now, target)
     }
 
--- a/crates/dispatcher-core/tests/answers.rs
+++ b/crates/dispatcher-core/tests/answers.rs
@@ -50,7 +50,7 @@
 
 case!(what_a_peer_may_have_started_is_not_refused_as_not_run, {
     let mut rig = Rig::new();
-    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)].into()));
     rig.event(Event::HostsRead(vec![peer_info()]));
     rig.pass(50);
     rig.answer_heartbeats(16_000);
@@ -227,7 +227,7 @@
     jobs_wait_for_the_first_targets_of_a_host_that_just_started,
     {
         let mut rig = Rig::new();
-        rig.event(Event::TargetsRead(vec![target("a", 16)]));
+        rig.event(Event::TargetsRead(vec![target("a", 16)].into()));
         // Worth something for 1,140 ms; elsewhere it is refused after 513 ms.
         rig.submit(1, ID, vec![step(1, 7_000, 200)], 3_000);
         rig.pass(600);
@@ -243,7 +243,7 @@
 
 case!(a_host_that_just_started_refuses_what_is_worth_nothing, {
     let mut rig = Rig::new();
-    rig.event(Event::TargetsRead(vec![target("a", 16)]));
+    rig.event(Event::TargetsRead(vec![target("a", 16)].into()));
     rig.submit(1, ID, vec![step(1, 7_000, 200)], 3_000);
     rig.pass(950);
     assert!(matches!(rig.answer_to(1), Some(Answer::Refused { .. })));
@@ -251,7 +251,7 @@
 
 case!(a_host_that_just_started_answers_by_the_deadline, {
     let mut rig = Rig::new();
-    rig.event(Event::TargetsRead(vec![target("a", 16)]));
+    rig.event(Event::TargetsRead(vec![target("a", 16)].into()));
     rig.submit(1, ID, vec![step(1, 7_000, 200)], 500);
     rig.pass(420);
     assert!(matches!(rig.answer_to(1), Some(Answer::Refused { .. })));
--- a/crates/dispatcher-core/tests/congestion.rs
+++ b/crates/dispatcher-core/tests/congestion.rs
@@ -53,7 +53,7 @@
         ..peer_info()
     });
     rig.event(Event::HostsRead(peers.collect()));
-    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)].into()));
     rig.pass(50);
     rig.answer_heartbeats(0);
     rig.submit(1, "5c0e7a21d94b36f8", vec![step(4, 7_000, 1_500)], 9_000);
--- a/crates/dispatcher-core/tests/draining.rs
+++ b/crates/dispatcher-core/tests/draining.rs
@@ -31,10 +31,9 @@
     south.hall = "south".into();
     let mut rig = Rig::new();
     rig.event(Event::HostsRead(vec![south]));
-    rig.event(Event::TargetsRead(vec![
-        target("near", 16),
-        in_south("far"),
-    ]));
+    rig.event(Event::TargetsRead(
+        vec![target("near", 16), in_south("far")].into(),
+    ));
     for _ in 0..100 {
         rig.pass(10);
         rig.answer_heartbeats(0);
@@ -168,10 +167,9 @@
     };
     let hosts = (0..12).map(|number| host(number, if number < 9 { "north" } else { "south" }));
     rig.event(Event::HostsRead(hosts.collect()));
-    rig.event(Event::TargetsRead(vec![
-        target("near", 16),
-        in_south("far"),
-    ]));
+    rig.event(Event::TargetsRead(
+        vec![target("near", 16), in_south("far")].into(),
+    ));
     for _ in 0..40 {
         rig.pass(10);
         rig.answer_heartbeats(0);
--- a/crates/dispatcher-core/tests/peers.rs
+++ b/crates/dispatcher-core/tests/peers.rs
@@ -13,7 +13,7 @@
 fn with_peer(free_cpu: u32) -> Rig {
     let mut rig = Rig::new();
     rig.event(Event::HostsRead(vec![peer_info()]));
-    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)].into()));
     for _ in 0..100 {
         rig.pass(10);
         rig.answer_heartbeats(free_cpu);
@@ -55,7 +55,7 @@
         others.push(info);
     }
     rig.event(Event::HostsRead(others));
-    rig.event(Event::TargetsRead(vec![target("far", 16)]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)].into()));
     for _ in 0..100 {
         rig.pass(10);
         rig.answer_heartbeats(0);
@@ -217,7 +217,7 @@
     let mut rig = Rig::new();
     rig.event(Event::HostsRead(vec![peer_info()]));
     let targets: Vec<_> = (0..20).map(|n| target(&format!("t{n}"), 16)).collect();
-    rig.event(Event::TargetsRead(targets));
+    rig.event(Event::TargetsRead(targets.into()));
     rig.pass(ms);
     rig.renewals().len()
 }
@@ -235,7 +235,7 @@
     unheard.address.set_port(4);
     rig.event(Event::HostsRead(vec![peer_info(), unheard]));
     let targets: Vec<_> = (0..30).map(|n| target(&format!("t{n}"), 16)).collect();
-    rig.event(Event::TargetsRead(targets));
+    rig.event(Event::TargetsRead(targets.into()));
     let heard = |rig: &mut Rig| {
         let all = rig.requests(|request| matches!(request, Request::Heartbeat(_)));
         for (call, _) in all {
--- a/crates/dispatcher-core/tests/store_news.rs
+++ b/crates/dispatcher-core/tests/store_news.rs
@@ -36,7 +36,7 @@
     // Right after its start a host takes no entry that is missing for gone.
     rig.pass(2_000);
     rig.event(Event::HostsRead(two_halls()));
-    rig.event(Event::TargetsRead(vec![target("a", 16)]));
+    rig.event(Event::TargetsRead(vec![target("a", 16)].into()));
     answered(&mut rig, 10);
     hear_all(&mut rig, 400);
     rig
@@ -230,7 +230,9 @@
 
 case!(a_reader_tells_what_changed_since, {
     let mut rig = Rig::new();
-    rig.event(Event::TargetsRead(vec![target("a", 16), target("b", 16)]));
+    rig.event(Event::TargetsRead(
+        vec![target("a", 16), target("b", 16)].into(),
+    ));
     answered(&mut rig, 10);
     // A row that says nothing new isn't told.
     rig.event(Event::TargetsChanged(vec![there("a"), there("c")]));
@@ -252,6 +254,7 @@
         .map(|news| match &news.list {
             ListNews::Whole(entries) => 100 + entries.len(),
             ListNews::Changes(changes) => changes.len(),
+            ListNews::WholeWithUnusable(list) => panic!("none is unusable: {list:?}"),
         })
         .collect();
     assert_eq!(lengths, [1, 0, 103]);
@@ -282,7 +285,7 @@
 
 case!(a_host_that_only_just_knows_the_list_tells_it_whole, {
     let mut rig = Rig::new();
-    rig.event(Event::TargetsRead(vec![target("a", 16)]));
+    rig.event(Event::TargetsRead(vec![target("a", 16)].into()));
     answered(&mut rig, 10);
     // Whoever knew version 9 may know targets that are gone since.
     rig.peer_asks(1, Request::StoreNews { after: 9 });
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -152,7 +152,7 @@
     /// A host that keeps the given targets.
     pub fn holding_targets(targets: &[TargetEntry]) -> Self {
         let mut rig = Self::new();
-        rig.event(Event::TargetsRead(targets.to_vec()));
+        rig.event(Event::TargetsRead(targets.to_vec().into()));
         rig.pass(1_000);
         for called in std::mem::take(&mut rig.calls) {
             assert!(matches!(called.order, TargetCall::Renew { .. }));
--- a/crates/dispatcher-core/tests/target_leases.rs
+++ b/crates/dispatcher-core/tests/target_leases.rs
@@ -21,7 +21,7 @@
     a_newcomer_starts_nothing_beside_runs_that_it_does_not_know,
     {
         let mut rig = Rig::new();
-        rig.event(Event::TargetsRead(vec![target("near", 16)]));
+        rig.event(Event::TargetsRead(vec![target("near", 16)].into()));
         rig.pass(1_000);
         let (call, until) = rig.renewals().remove(0);
         assert_eq!(until, None, "no owner is known of what it finds");
@@ -155,7 +155,7 @@
     rig.event(Event::StoreReachable(false));
     rig.pass(1_000);
     rig.event(Event::StoreReachable(true));
-    rig.event(Event::TargetsRead(Vec::new()));
+    rig.event(Event::TargetsRead(Vec::new().into()));
     rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
     assert_eq!(rig.starts().len(), 1);
     rig.pass(2_100);
@@ -250,7 +250,7 @@
         rig.event(Event::StoreReachable(false));
         rig.pass(1_000);
         rig.event(Event::StoreReachable(true));
-        rig.event(Event::TargetsRead(Vec::new()));
+        rig.event(Event::TargetsRead(Vec::new().into()));
         rig.pass(1_900);
         let back = TargetChange::There(target("near", 16));
         rig.event(Event::TargetsChanged(vec![back]));
--- /dev/null
+++ b/crates/dispatcher-core/tests/unusable_entries.rs
@@ -0,0 +1,158 @@
+//! Targets whose entries in the platform's list can't be used.
+
+mod support;
+
+use gannetridge_dispatcher_core::decision::EntryFault;
+use gannetridge_dispatcher_core::event::{ListedOutcome, TargetChange, TargetList, UnusableEntry};
+use gannetridge_dispatcher_core::message::{ListNews, ReplyBody, Request};
+use gannetridge_dispatcher_core::{Event, StoreTable, TargetCall};
+use support::{case, ended, step, target, Rig};
+
+fn unusable(id: &str) -> UnusableEntry {
+    UnusableEntry {
+        id: id.into(),
+        fault: EntryFault::Fields,
+    }
+}
+
+fn becomes_unusable(id: &str) -> Event {
+    Event::TargetsChanged(vec![TargetChange::Unusable(unusable(id))])
+}
+
+fn there(id: &str) -> Event {
+    Event::TargetsChanged(vec![TargetChange::There(target(id, 16))])
+}
+
+/// Submits a job of one task and returns whether it was started at once.
+fn starts_job(rig: &mut Rig, request_id: u64) -> bool {
+    let id = format!("{request_id:016x}");
+    rig.submit(request_id, &id, vec![step(1, 7_000, 100)], 1_500);
+    !rig.starts().is_empty()
+}
+
+case!(
+    a_known_target_gets_nothing_until_its_entry_reads_well_again,
+    {
+        let mut rig = Rig::holding_targets(&[target("near", 16)]);
+        assert!(starts_job(&mut rig, 1));
+        rig.event(becomes_unusable("near"));
+        assert!(!starts_job(&mut rig, 2), "started on an unusable entry");
+        rig.event(there("near"));
+        rig.event(Event::Tick);
+        assert_eq!(rig.starts().len(), 1, "the job that waited");
+    }
+);
+
+case!(what_runs_there_goes_on, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.submit(1, "0000000000000001", vec![step(1, 7_000, 100)], 1_500);
+    let (call, _, id) = rig.starts().pop().expect("a start");
+    rig.target_reply(
+        call,
+        gannetridge_dispatcher_core::TargetReply::Accepted {
+            clock: rig.now + 500_000,
+        },
+    );
+    rig.event(becomes_unusable("near"));
+    rig.pass(50);
+    assert_eq!(rig.stops(), [], "nothing is stopped");
+    let (renewal, _) = rig.renewals().pop().expect("its lease is renewed");
+    rig.listing(renewal, &[], &[ended(1, &id, ListedOutcome::Done)]);
+    assert!(rig.answer_to(1).is_some(), "the job is answered");
+});
+
+case!(an_entry_of_a_target_that_is_not_known_names_none, {
+    let mut rig = Rig::new();
+    rig.event(becomes_unusable("far-away"));
+    rig.pass(1_000);
+    assert!(rig.calls.is_empty(), "{:?}", rig.calls);
+    assert_eq!(rig.host.counts(rig.now).targets_known, 0);
+});
+
+case!(half_of_a_whole_list_may_be_unusable, {
+    let ids: Vec<String> = (0..8).map(|number| format!("t-{number}")).collect();
+    let targets: Vec<_> = ids.iter().map(|id| target(id, 16)).collect();
+    let mut rig = Rig::holding_targets(&targets);
+    let list = TargetList {
+        targets: targets[..4].to_vec(),
+        unusable: ids[4..].iter().map(|id| unusable(id)).collect(),
+    };
+    rig.event(Event::TargetsRead(list));
+    rig.submit(1, "0000000000000001", vec![step(16, 7_000, 100)], 1_500);
+    let mut used: Vec<String> = rig.starts().into_iter().map(|start| start.1).collect();
+    used.sort();
+    used.dedup();
+    assert_eq!(used, ids[..4]);
+    // The others are known on, and are used once their entries read well.
+    rig.event(Event::TargetsRead(targets.into()));
+    rig.event(Event::Tick);
+    assert_eq!(rig.starts().len(), 8);
+});
+
+case!(
+    targets_of_a_pool_that_the_configuration_does_not_name_are_not_called,
+    {
+        let mut rig = Rig::new();
+        let mut stranger = target("stranger", 16);
+        stranger.pool = "nobody's".into();
+        rig.event(Event::TargetsRead(
+            vec![stranger, target("near", 16)].into(),
+        ));
+        rig.pass(1_000);
+        let called: Vec<&str> = rig.calls.iter().map(|called| &*called.target).collect();
+        assert!(called.iter().all(|target| *target == "near"), "{called:?}");
+        assert!(!called.is_empty());
+    }
+);
+
+case!(an_unusable_target_is_not_acquired, {
+    let mut rig = Rig::new();
+    rig.event(Event::TargetsRead(vec![target("near", 16)].into()));
+    rig.event(becomes_unusable("near"));
+    rig.pass(1_000);
+    let renews = |called: &support::Called| matches!(called.order, TargetCall::Renew { .. });
+    assert!(!rig.calls.iter().any(renews), "{:?}", rig.calls);
+    rig.event(there("near"));
+    rig.pass(100);
+    assert!(rig.calls.iter().any(renews));
+});
+
+/// Asks for news of the store and returns the list that is told.
+fn told_list(rig: &mut Rig, after: u64) -> ListNews {
+    rig.peer_asks(9, Request::PlatformNews { after });
+    let (_, reply) = rig.replies.pop().expect("a reply");
+    let ReplyBody::PlatformNews(Some(news)) = reply.body else {
+        panic!("no news: {:?}", reply.body);
+    };
+    news.store.list
+}
+
+fn answered(rig: &mut Rig, version: u64) {
+    for table in [StoreTable::Targets, StoreTable::Configuration] {
+        rig.event(Event::StoreAnswered {
+            table,
+            version,
+            age_ms: 0,
+        });
+    }
+}
+
+case!(others_are_told_of_unusable_entries, {
+    let mut rig = Rig::holding_targets(&[target("a", 16), target("b", 16)]);
+    answered(&mut rig, 10);
+    rig.event(becomes_unusable("b"));
+    answered(&mut rig, 11);
+    let ListNews::Changes(changes) = told_list(&mut rig, 10) else {
+        panic!("all changes since are known");
+    };
+    assert_eq!(changes, [TargetChange::Unusable(unusable("b"))]);
+    let ListNews::WholeWithUnusable(list) = told_list(&mut rig, 0) else {
+        panic!("who knows nothing is told all");
+    };
+    assert_eq!(list.targets, [target("a", 16)]);
+    assert_eq!(list.unusable, [unusable("b")]);
+    // Where none is unusable, hosts of earlier releases can read the list as well.
+    rig.event(there("b"));
+    answered(&mut rig, 12);
+    assert!(matches!(told_list(&mut rig, 0), ListNews::Whole(targets) if targets.len() == 2));
+});
--- a/crates/dispatcher-sim/src/world/building.rs
+++ b/crates/dispatcher-sim/src/world/building.rs
@@ -94,7 +94,7 @@
             for event in [
                 Event::ConfigurationRead(configuration()),
                 self.draining_halls(),
-                Event::TargetsRead(self.list()),
+                Event::TargetsRead(self.list().into()),
                 Event::HostsRead(hosts),
             ] {
                 self.tell(host, 10, event);
--- a/crates/dispatcher-sim/src/world/faults.rs
+++ b/crates/dispatcher-sim/src/world/faults.rs
@@ -154,7 +154,7 @@
             // Some entries lapsed meanwhile, and are back soon.
             let mut list = self.list();
             list.retain(|_| self.rng.random_bool(0.7));
-            self.tell(host, 21, Event::TargetsRead(list));
+            self.tell(host, 21, Event::TargetsRead(list.into()));
             self.at(self.now + 1_500, Happening::ReadAgain(host));
         }
     }
@@ -197,7 +197,7 @@
         self.tell(host, 1, Event::HostsRead(hosts));
         self.tell(host, 1, Event::ConfigurationRead(configuration()));
         self.tell(host, 1, self.draining_halls());
-        self.tell(host, 1, Event::TargetsRead(self.list()));
+        self.tell(host, 1, Event::TargetsRead(self.list().into()));
         for table in [StoreTable::Targets, StoreTable::Configuration] {
             let answered = Event::StoreAnswered {
                 table,
--- a/crates/dispatcher-sim/src/world/mod.rs
+++ b/crates/dispatcher-sim/src/world/mod.rs
@@ -264,7 +264,7 @@
             Happening::Lapse(id) => self.news(vec![TargetChange::Gone(id)]),
             Happening::ReadAgain(host) => {
                 if self.store_out == 0 {
-                    self.tell(host, 1, Event::TargetsRead(self.list()));
+                    self.tell(host, 1, Event::TargetsRead(self.list().into()));
                 }
             }
             Happening::Read(host) => self.read_store(host),
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -149,6 +149,9 @@
                 }
                 self.handle(event);
             }
+            Message::FaultyRows { fault, count } => {
+                self.parts.metrics.faulty_rows(fault, count);
+            }
             Message::StoreState(tx) => {
                 let dispatcher = &self.parts.dispatcher;
                 // The task that follows a table is gone only when the process ends.
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `caller_api`, [`peer_api`] own the sockets of callers and peers
 //! - [`store_task`] follows the platform's tables
 //! - [`decision_log`], [`metrics`], [`traffic`], `logging`: what operators see
+//! - `faulty_rows`: what the tables hold that can't be used
 //! - `reload`, `signals`, [`settings`]: what operators set
 //!
 //! What the platform is like, this crate doesn't know: it is given a
@@ -14,6 +15,7 @@
 mod caller_api;
 mod core_task;
 pub mod decision_log;
+mod faulty_rows;
 mod logging;
 mod mailbox;
 pub mod metrics;
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use gannetridge_dispatcher_core::decision::StoreReading;
+use gannetridge_dispatcher_core::decision::{EntryFault, StoreReading};
 use gannetridge_dispatcher_core::message::{Envelope, Reply};
 use gannetridge_dispatcher_core::{Answer, Dispatcher, Event, RequestId};
 use local_sync::{mpsc::unbounded, oneshot};
@@ -35,6 +35,13 @@
     },
     /// Something else that happened.
     Event(Event),
+    /// Rows of the platform's tables said nothing that can be used.
+    FaultyRows {
+        /// What was wrong with them.
+        fault: EntryFault,
+        /// How many.
+        count: u64,
+    },
     /// Asks how the store is to be read, and where the answer goes.
     StoreState(oneshot::Sender<StoreState>),
     /// Asks to inspect the dispatcher.
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,7 +2,7 @@
 //!
 //! `docs/OPERATIONS.md` lists them; `tests/operator_view.rs` holds their names and labels.
 
-use gannetridge_dispatcher_core::decision::EndCause;
+use gannetridge_dispatcher_core::decision::{EndCause, EntryFault};
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::{Decision, Millis};
 use gannetridge_net::HttpReply;
@@ -25,6 +25,7 @@
 pub struct Metrics {
     jobs: Counter<u64>,
     rejected: Counter<u64>,
+    faulty_rows: Counter<u64>,
     starts: Counter<u64>,
     ends: Counter<u64>,
     handed_over: Counter<u64>,
@@ -67,6 +68,10 @@
         let metrics = Self {
             jobs: counter("jobs_ended", "Jobs that ended, by queue and cause"),
             rejected: counter("jobs_rejected", "Jobs that weren't taken, by reason"),
+            faulty_rows: counter(
+                "faulty_rows",
+                "Rows of the store that can't be used, by reason",
+            ),
             starts: counter("starts", "Starts sent to targets"),
             ends: counter("run_ends", "Ends of runs, by how and what showed it"),
             handed_over: counter("tasks_asked", "Tasks handed to peers"),
@@ -139,6 +144,12 @@
         }
     }
 
+    /// Counts rows of the platform's tables that say nothing that can be used.
+    pub fn faulty_rows(&self, fault: EntryFault, count: u64) {
+        let reason = KeyValue::new("reason", fault.as_str());
+        self.faulty_rows.add(count, &[reason]);
+    }
+
     /// Counts a job, and its time if it was completed.
     fn job_ended(&self, queue: &Name, cause: EndCause, took_ms: Millis, objective_ms: Millis) {
         let queue = KeyValue::new("queue", queue.to_string());
--- a/crates/dispatcher/src/platform_client.rs
+++ b/crates/dispatcher/src/platform_client.rs
@@ -10,8 +10,9 @@
 use std::rc::Rc;
 
 use gannetridge_dispatcher_core::configuration::Configuration;
+use gannetridge_dispatcher_core::decision::EntryFault;
 use gannetridge_dispatcher_core::event::{
-    HallChange, SendFailure, Submit, TargetChange, TargetEntry, TargetReply,
+    HallChange, SendFailure, Submit, TargetChange, TargetList, TargetReply, UnusableEntry,
 };
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::{Answer, Millis, TargetCall};
@@ -80,8 +81,17 @@
     Target(TargetChange),
     /// A host.
     Host(HostInfo),
-    /// A row that can't be decoded, by its key.
-    Faulty(Name),
+    /// A row that says nothing that can be used.
+    Faulty(FaultyRow),
+}
+
+/// A row that says nothing that can be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FaultyRow {
+    /// Its key.
+    pub key: Name,
+    /// What is wrong with it.
+    pub fault: EntryFault,
 }
 
 /// Rows, and the version that they stand for.
@@ -96,15 +106,35 @@
 }
 
 impl Rows {
-    /// Returns the targets, of rows that are a whole list.
+    /// Returns the list of targets, of rows that hold it whole.
     #[must_use]
-    pub fn into_targets(self) -> Vec<TargetEntry> {
-        let rows = self.rows.into_iter();
-        rows.filter_map(|row| match row {
-            Row::Target(TargetChange::There(entry)) => Some(entry),
-            _ => None,
+    pub fn into_targets(self) -> TargetList {
+        let mut list = TargetList::default();
+        for row in self.rows {
+            match row {
+                Row::Target(TargetChange::There(entry)) => list.targets.push(entry),
+                Row::Target(TargetChange::Unusable(entry)) => list.unusable.push(entry),
+                // What is gone isn't in the list; other rows are of other tables.
+                Row::Target(TargetChange::Gone(_))
+                | Row::Configuration(_)
+                | Row::Hall(_)
+                | Row::Host(_)
+                | Row::Faulty(_) => {}
+            }
+        }
+        list
+    }
+
+    /// Returns the rows that say nothing that can be used, entries of targets among them.
+    pub fn faults(&self) -> impl Iterator<Item = FaultyRow> + '_ {
+        self.rows.iter().filter_map(|row| match row {
+            Row::Faulty(row) => Some(row.clone()),
+            Row::Target(TargetChange::Unusable(UnusableEntry { id, fault })) => Some(FaultyRow {
+                key: id.clone(),
+                fault: *fault,
+            }),
+            Row::Target(_) | Row::Configuration(_) | Row::Hall(_) | Row::Host(_) => None,
         })
-        .collect()
     }
 }
 
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -15,8 +15,9 @@
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::{Event, Millis, StoreTable};
 use gannetridge_process::mailbox::ask;
-use tracing::{info, warn};
+use tracing::info;
 
+use crate::faulty_rows;
 use crate::mailbox::{Message, Sender, StoreState};
 use crate::platform_client::{PlatformClient, Row, Rows, StoreError, Table};
 use crate::store_pace::pause_after;
@@ -200,7 +201,7 @@
 }
 
 /// The dispatcher's task has ended.
-struct Closed;
+pub struct Closed;
 
 /// Tells the dispatcher whether the store answers.
 fn reachable(tx: &Sender, reachable: bool) -> Result<(), Closed> {
@@ -217,6 +218,7 @@
     asked: Instant,
 ) -> Result<(), Closed> {
     reachable(tx, true)?;
+    faulty_rows::report(tx, table, &rows)?;
     let version = rows.version;
     let mut events = Vec::new();
     if whole && table == Table::Targets {
@@ -231,7 +233,8 @@
                 Row::Hall(change) => halls.push(change),
                 Row::Target(change) => targets.push(change),
                 Row::Host(host) => hosts.push(host),
-                Row::Faulty(key) => warn!(event = "faulty-row", ?table, %key),
+                // Reported above; what was known before stays.
+                Row::Faulty(_) => {}
             }
         }
         if !targets.is_empty() {
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -8,8 +8,8 @@
 use gannetridge_dispatcher::metrics::Metrics;
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
-    BeliefSource, ConfigurationSource, EndCause, EndEvidence, PeerState, Rejection, StopReason,
-    StoreReading, TargetBelief,
+    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
+    StopReason, StoreReading, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
@@ -236,6 +236,7 @@
         Rejection,
         StopReason,
         EndEvidence,
+        EntryFault,
         TargetBelief,
         BeliefSource,
         PeerState,
