Take the factor of far racks from the deployment

Cause: tasks in a rack without their data counted as 1.5 times slower everywhere; the new sheets say 1.5 and 2 (and one before said 3). Change: the setting remote-factor, 1.5 where none is given.

--- a/crates/dispatcher-core/src/rules/target_choice.rs
+++ b/crates/dispatcher-core/src/rules/target_choice.rs
@@ -3,23 +3,20 @@
 //! **Rule.** Of the targets whose leases this host holds, those that are usable,
 //! suit the task and have the resources free; of these the one that costs least.
 //! Cost is in units of an ordinary target's running time: a slow target costs its
-//! slowdown, a rack without the task's data half as much again, a wholly free
-//! target half a unit more than a full one (the fullest first, so that large tasks
-//! find room), and each failure in a row 0.3.
+//! slowdown, a rack without the task's data as many times more as the deployment says
+//! (`remote-factor`), a wholly free target half a unit more than a full one (the fullest
+//! first, so that large tasks find room), and each failure in a row 0.3.
 //!
-//! **Inputs.** Thousandths of a core, the slowdown as a ratio, failures in a row.
+//! **Inputs.** Thousandths of a core, slowdowns as ratios, failures in a row.
 //! **Measured.** Attempts under way that are overdue count as slowdown too, and a
 //! crawling target gets one task at a time: 0.84 to 0.87 worth of a day on which 17 % of
-//! the targets run 6.5 times slower for 7 s, with shorter waits for replies. **Gives up.** The weights of a far
-//! rack, of free resources and of failures were chosen, not measured.
+//! the targets run 6.5 times slower for 7 s, with shorter waits for replies. **Gives up.** The weights of free
+//! resources and of failures were chosen, not measured.
 
 use crate::event::TargetEntry;
 use crate::message::TaskOrder;
 use crate::spec::Resources;
 
-/// A target without the task's data counts as this much slower. Chosen, not
-/// measured.
-const FAR_RACK_SLOWDOWN: f64 = 1.5;
 /// No target counts as faster than this. Chosen, not measured.
 const LEAST_SLOWDOWN: f64 = 0.5;
 /// What a target that stays wholly free costs more than one that gets full.
@@ -39,20 +36,16 @@
     pub slowdown: f64,
     /// Failures in a row.
     pub failures: u32,
-    /// Whether the task's data lies in another rack.
-    pub far_rack: bool,
+    /// How many times as long the task takes there since its data lies in another rack, 1 if
+    /// it doesn't.
+    pub far_slowdown: f64,
 }
 
 /// Returns what a task costs on a target; the least is chosen.
 #[must_use]
 pub fn cost(target: &Candidate) -> f64 {
-    let distance = if target.far_rack {
-        FAR_RACK_SLOWDOWN
-    } else {
-        1.0
-    };
     let size = target.capacity_cpu.max(1);
-    (target.slowdown * distance).max(LEAST_SLOWDOWN)
+    (target.slowdown * target.far_slowdown).max(LEAST_SLOWDOWN)
         + FREE_WEIGHT * f64::from(target.left_cpu) / f64::from(size)
         + FAILURE_WEIGHT * f64::from(target.failures)
 }
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -108,6 +108,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The bounds.
     pub bounds: Bounds,
+    /// How many times as long tasks take in racks without their data.
+    pub far_slowdown: f64,
     /// Wall-clock time at which the steady clock was 0, in ms since 1970.
     pub epoch_ms: u64,
     /// The mechanisms; all but in tests.
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -87,6 +87,8 @@
 pub struct TargetLeases {
     times: Times,
     safeguards: Safeguards,
+    /// How many times as long tasks take in racks without their data.
+    far_slowdown: f64,
     targets: BTreeMap<Name, Target>,
     /// The targets whose leases this host holds or acquires.
     leased: BTreeSet<Name>,
@@ -124,6 +126,7 @@
         Self {
             times,
             safeguards: settings.safeguards,
+            far_slowdown: settings.far_slowdown,
             targets: BTreeMap::new(),
             leased: BTreeSet::new(),
             active: BTreeSet::new(),
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -8,6 +8,7 @@
 use crate::rules::target_choice;
 use crate::Millis;
 
+use super::target::Target;
 use super::{Owner, Purpose, TargetLeases};
 
 /// How long resources are reserved for a peer at most, in ms. Chosen, not
@@ -27,7 +28,8 @@
                 && target_choice::suits(&target.entry, order)
                 && target.fits(order)
         });
-        let best = fitting.min_by(|a, b| a.cost(now, order).total_cmp(&b.cost(now, order)));
+        let cost = |target: &&Target| target.cost(now, order, self.far_slowdown);
+        let best = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let Some(id) = best.map(|target| target.entry.id.clone()) else {
             return false;
         };
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -113,7 +113,10 @@
     }
 
     /// Returns what an order costs here; see [`target_choice::cost`].
-    pub(super) fn cost(&self, now: Millis, order: &TaskOrder) -> f64 {
+    ///
+    /// `far_slowdown` is how many times as long tasks take in racks without their data.
+    pub(super) fn cost(&self, now: Millis, order: &TaskOrder, far_slowdown: f64) -> f64 {
+        let is_far = target_choice::is_far(&self.entry, order);
         let running = self.attempts.values();
         let running = running.map(|attempt| attempt.running_time(now));
         target_choice::cost(&Candidate {
@@ -121,7 +124,7 @@
             capacity_cpu: self.entry.capacity.cpu,
             slowdown: self.health.slowdown(running),
             failures: self.health.failures(),
-            far_rack: target_choice::is_far(&self.entry, order),
+            far_slowdown: if is_far { far_slowdown } else { 1.0 },
         })
     }
 
--- a/crates/dispatcher-core/tests/membership.rs
+++ b/crates/dispatcher-core/tests/membership.rs
@@ -36,6 +36,7 @@
         seeds: vec![([127, 0, 0, 1], 1).into()],
         bounds: BOUNDS,
         epoch_ms: 1_760_000_000_000,
+        far_slowdown: 1.5,
         safeguards: gannetridge_dispatcher_core::Safeguards::default(),
     }
 }
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -121,20 +121,30 @@
     }
 }
 
+/// The settings of the host.
+pub fn settings() -> Settings {
+    Settings {
+        name: "host".into(),
+        address: "127.0.0.1:2".parse().unwrap(),
+        hall: "north".into(),
+        incarnation: 5,
+        processor_weight: 1_000,
+        seeds: Vec::new(),
+        bounds: BOUNDS,
+        epoch_ms: 1_760_000_000_000,
+        far_slowdown: 1.5,
+        safeguards: gannetridge_dispatcher_core::Safeguards::default(),
+    }
+}
+
 impl Rig {
     /// A host with a configuration and no targets.
     pub fn new() -> Self {
-        let settings = Settings {
-            name: "host".into(),
-            address: "127.0.0.1:2".parse().unwrap(),
-            hall: "north".into(),
-            incarnation: 5,
-            processor_weight: 1_000,
-            seeds: Vec::new(),
-            bounds: BOUNDS,
-            epoch_ms: 1_760_000_000_000,
-            safeguards: gannetridge_dispatcher_core::Safeguards::default(),
-        };
+        Self::with(settings())
+    }
+
+    /// A host with settings and a configuration, and no targets.
+    pub fn with(settings: Settings) -> Self {
         let mut rig = Self {
             host: Dispatcher::new(settings).unwrap(),
             now: 1_000,
@@ -151,7 +161,12 @@
 
     /// A host that keeps the given targets.
     pub fn holding_targets(targets: &[TargetEntry]) -> Self {
-        let mut rig = Self::new();
+        Self::holding_targets_with(settings(), targets)
+    }
+
+    /// A host with settings that keeps the given targets.
+    pub fn holding_targets_with(settings: Settings, targets: &[TargetEntry]) -> Self {
+        let mut rig = Self::with(settings);
         rig.event(Event::TargetsRead(targets.to_vec().into()));
         rig.pass(1_000);
         for called in std::mem::take(&mut rig.calls) {
--- a/crates/dispatcher-sim/src/world/building.rs
+++ b/crates/dispatcher-sim/src/world/building.rs
@@ -68,6 +68,7 @@
             seeds: vec!["127.0.0.1:1000".parse().expect("an address")],
             bounds: self.scenario.bounds,
             epoch_ms: EPOCH_MS + base + skew,
+            far_slowdown: 1.5,
             safeguards: self.scenario.safeguards,
         };
         Host {
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -115,6 +115,7 @@
         seeds: settings.seeds.clone(),
         bounds: settings.bounds.bounds(),
         epoch_ms,
+        far_slowdown: settings.bounds.remote_factor,
         safeguards: Safeguards::default(),
     }
 }
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -62,6 +62,8 @@
     pub grace_period_s: f64,
     /// How long a target serves on after it said that it leaves.
     pub drain_ms: u64,
+    /// How many times as long a task takes in a rack without its data.
+    pub remote_factor: f64,
 }
 
 impl Default for BoundsSettings {
@@ -72,6 +74,7 @@
             stop_grace_ms: 50,
             grace_period_s: 6.0,
             drain_ms: 2_000,
+            remote_factor: 1.5,
         }
     }
 }
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -179,6 +179,7 @@
             drain_ms: 2_000,
         },
         epoch_ms: 1,
+        far_slowdown: 1.5,
         safeguards: Safeguards::default(),
     })
     .unwrap()
