--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -79,7 +79,7 @@
 /// After a call without reply the target may have started again with a clock that began anew: it
 /// would take a time of the old clock for the longest lease that it grants, on all that it runs
 /// from then on. Guards against a holder that takes such attempts for over while they run (2
-/// of 200 seeds of the simulator with targets that restart; none of 400 since).
+/// of 200 seeds of the simulator with targets that restart; none of 300 since).
 fn renews_lease(target: &Target) -> bool {
     target.lease.is_held() && !target.is_idle() && target.knows_life()
 }
