--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `jobs`: the owner's side, for jobs of the callers connected here
 //! - `targets`: the targets, and the leases on them that this host holds
 //! - `peers`: the other hosts
+//! - [`target_list`]: the platform's list of targets, and its changes
 //! - [`store_news`]: from which version of the store what is believed comes, and when
 //! - [`dispatcher`]: hands on what one of these leaves for another
 //! - [`event`], [`action`], [`decision`], [`message`]: what goes in, what comes out,
@@ -28,6 +29,7 @@
 pub mod settings;
 pub mod spec;
 pub mod store_news;
+pub mod target_list;
 mod targets;
 
 pub use action::{Action, Answer, StartOrder, TargetCall};
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -48,9 +48,8 @@
             return;
         }
         let token = self.tokens.next(now);
-        let before = told_before(sent);
-        let reports =
-            target.begin_life(now, token, self.times.longest_attempts_over, before, reply);
+        let asked = listing_asked_at(sent);
+        let reports = target.begin_life(now, token, self.times.longest_attempts_over, asked, reply);
         self.reports.extend(reports);
         let by = BeliefSource::WrongIncarnation;
         self.record_target(&sent.target, TargetBelief::Restarted, by);
@@ -62,17 +61,17 @@
     /// Returns whether a reply is of another life than the one that is known. `clock` is the
     /// target's clock as heard before the call: within one life it never goes back.
     fn is_other_life(&self, clock: Option<Millis>, reply: &TargetReply) -> bool {
-        self.is_born_elsewhen(reply) || heeded_clock(reply).is_some_and(|now| Some(now) < clock)
+        self.tells_other_life(reply) || heeded_clock(reply).is_some_and(|now| Some(now) < clock)
     }
 
     /// Returns whether a reply tells that it is of another life.
-    fn is_born_elsewhen(&self, reply: &TargetReply) -> bool {
+    fn tells_other_life(&self, reply: &TargetReply) -> bool {
         let (known, told) = (self.born, born(reply));
         told.is_some() && known.is_some() && told != known
     }
 
     /// Begins to acquire the lease of a new life; returns the attempts that ended with the old
-    /// one: those that a target had confirmed before it was asked for a listing (`before`), and
+    /// one: those that a target had confirmed before it was asked for the listing (`asked`), and
     /// that aren't listed. Those whose start may have come to the new life are stopped there:
     /// they carried a time of the old clock, so that it may have granted them the longest lease.
     ///
@@ -83,17 +82,17 @@
         now: Millis,
         token: u64,
         longest_attempts_over: Millis,
-        before: Option<Millis>,
+        asked: Option<Millis>,
         reply: &TargetReply,
     ) -> Vec<EndReport> {
-        let told = before.filter(|_| self.is_born_elsewhen(reply));
+        let told = asked.filter(|_| self.tells_other_life(reply));
         self.forget();
         self.born = born(reply);
         self.lease.begin_life(now, token);
         let attempts = self.attempts.iter();
         let over = attempts.filter(|(id, attempt)| {
             let known = attempt.confirmed;
-            let of_old_life = told.is_some_and(|before| known.is_some_and(|at| at < before));
+            let of_old_life = told.is_some_and(|asked| known.is_some_and(|at| at < asked));
             of_old_life && !runs(reply, id)
         });
         let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
@@ -126,7 +125,7 @@
 }
 
 /// Returns when a listing was asked for, if the call did.
-fn told_before(sent: &Sent) -> Option<Millis> {
+fn listing_asked_at(sent: &Sent) -> Option<Millis> {
     match sent.purpose {
         Purpose::Renewal { asked } => Some(asked),
         Purpose::Start(_) | Purpose::Stop(_) => None,
