--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// Seeds that once broke a promise while targets start again under their id: ends were
+/// acknowledged unheard, or attempts taken for over that ran.
+const FOUND_WITH_RESTARTS: [u64; 12] = [3, 29, 47, 48, 58, 114, 130, 131, 159, 192, 221, 252];
+
+#[test]
+fn promises_are_kept_with_restarts_and_seeds_that_once_broke_them() {
+    for seed in FOUND_WITH_RESTARTS {
+        let outcome = run(&Scenario::with_restarts(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
 /// Targets crash and start again under their id, half of them at once, while attempts run
 /// there, calls are lost or carried out late, and their holders are cut off.
 #[test]
