Name the ways of scheduling, and what hosts tell of their load, as types

The two customers with hard load need tasks to wait at the holders of targets, one order with shares, and running times that are learned. Each is a way beside the present one, which a deployment's settings choose ([scheduling], defaults: the present ways), so that earlier deployments are served as before and two ways can be played against each other.

No behaviour changes: nothing reads these yet.

--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -36,7 +36,7 @@
 pub use decision::Decision;
 pub use dispatcher::Dispatcher;
 pub use event::{CallId, Event, RequestId, SendFailure, StoreTable, TargetReply};
-pub use settings::{Bounds, BoundsError, Safeguards, Settings};
+pub use settings::{Bounds, BoundsError, Safeguards, Scheduling, Settings};
 
 /// Milliseconds of this host's steady clock.
 pub type Millis = u64;
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -139,6 +139,65 @@
     pub tasks: u32,
 }
 
+/// A task that is handed to the holder of targets, which may let it wait for one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HandedTask {
+    /// What is to be started.
+    pub order: TaskOrder,
+    /// The task's queue: its use of targets counts for that queue's share.
+    pub queue: Name,
+    /// Its priority when this was sent.
+    pub priority: Priority,
+    /// The latest time on the receiver's clock at which it may be started; the sender
+    /// reckons it from the clock that it last heard.
+    pub latest_begin: Millis,
+}
+
+/// What is free on a target that takes tasks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRoom {
+    /// The target.
+    pub target: Name,
+    /// What is free on it.
+    pub free: Resources,
+}
+
+/// Tasks of one urgency that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingWork {
+    /// Their queues' urgency; 0 is the most urgent.
+    pub urgency: u8,
+    /// How many there are.
+    pub tasks: u32,
+    /// The processor time that they are expected to take, in core-ms.
+    pub core_ms: u64,
+}
+
+/// What a host's usable targets of one pool have, and have to do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// The pool.
+    pub pool: Name,
+    /// Thousandths of a core that the targets have.
+    pub capacity_cpu: u32,
+    /// Thousandths of a core in use.
+    pub used_cpu: u32,
+    /// Thousandths of a core for which tasks may still be handed over to wait: what attempts
+    /// are expected to free in time, less what waits already.
+    pub queue_cpu: u32,
+    /// What waits at the host, the most urgent first.
+    pub waiting: Vec<WaitingWork>,
+}
+
+/// What a host's targets have free, and have to do.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderLoad {
+    /// Targets with free room, the freest first; not all if there are many.
+    pub room: Vec<TargetRoom>,
+    /// Its pools.
+    pub pools: Vec<PoolLoad>,
+}
+
 /// What is free on one target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreeResources {
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -39,6 +39,51 @@
     },
 }
 
+/// Where a task waits that finds no target at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaitingAt {
+    /// At the host that owns its job; peers reserve a target for it.
+    #[default]
+    Owner,
+    /// At the host that holds the targets, which starts it as soon as one has room.
+    Holder,
+}
+
+/// What decides first between waiting tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaitingOrder {
+    /// Whether the job can still be on time, then its queue's urgency.
+    #[default]
+    Class,
+    /// The queue's urgency, then shares of queues and halls within it.
+    Shares,
+}
+
+/// From where a task's running time is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunningTimes {
+    /// From its caller's estimate.
+    #[default]
+    Estimated,
+    /// From earlier tasks of its queue, and the speed of its target.
+    Learned,
+}
+
+/// Which of several ways a deployment asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Scheduling {
+    /// Where tasks wait.
+    pub waiting_at: WaitingAt,
+    /// Which of them goes first.
+    pub order: WaitingOrder,
+    /// From where running times are known.
+    pub running_times: RunningTimes,
+}
+
 /// Mechanisms that tests take out one at a time, to show that the checks miss them.
 /// Everywhere else all are there; no settings file reaches them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,6 +157,8 @@
     pub far_slowdown: f64,
     /// Wall-clock time at which the steady clock was 0, in ms since 1970.
     pub epoch_ms: u64,
+    /// Which of several ways the deployment asks for.
+    pub scheduling: Scheduling,
     /// The mechanisms; all but in tests.
     pub safeguards: Safeguards,
 }
--- a/crates/dispatcher-core/tests/membership.rs
+++ b/crates/dispatcher-core/tests/membership.rs
@@ -37,6 +37,7 @@
         bounds: BOUNDS,
         epoch_ms: 1_760_000_000_000,
         far_slowdown: 1.5,
+        scheduling: gannetridge_dispatcher_core::Scheduling::default(),
         safeguards: gannetridge_dispatcher_core::Safeguards::default(),
     }
 }
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -133,6 +133,7 @@
         bounds: BOUNDS,
         epoch_ms: 1_760_000_000_000,
         far_slowdown: 1.5,
+        scheduling: gannetridge_dispatcher_core::Scheduling::default(),
         safeguards: gannetridge_dispatcher_core::Safeguards::default(),
     }
 }
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -116,6 +116,7 @@
         bounds: settings.bounds.bounds(),
         epoch_ms,
         far_slowdown: settings.bounds.remote_factor,
+        scheduling: settings.scheduling,
         safeguards: Safeguards::default(),
     }
 }
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use gannetridge_dispatcher_core::Bounds;
+use gannetridge_dispatcher_core::{Bounds, Scheduling};
 use gannetridge_wire::Name;
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,9 @@
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: BoundsSettings,
+    /// Which of several ways of scheduling are used.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// What is logged.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -180,6 +180,7 @@
         },
         epoch_ms: 1,
         far_slowdown: 1.5,
+        scheduling: gannetridge_dispatcher_core::Scheduling::default(),
         safeguards: Safeguards::default(),
     })
     .unwrap()
