--- /dev/null
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -0,0 +1,368 @@
+//! The holder's side of tasks that wait here: one order for this host's callers and those of
+//! peers, what is kept and what is given back, and what peers are told of room.
+//!
+//! Relies on [`crate::backlog`] for the tasks of peers and on [`crate::jobs`] for those of this
+//! host's callers; how long and how many may wait stands in [`crate::rules::backlog`].
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+use gannetridge_wire::Name;
+
+use crate::backlog::Handed;
+use crate::event::SendFailure;
+use crate::jobs::WaitingTask;
+use crate::message::{
+    core_ms, AttemptEnd, AttemptId, AttemptOutcome, HandedTask, HolderLoad, PoolLoad, Priority,
+    Reply, ReplyBody, Request, TaskOrder, WaitingWork,
+};
+use crate::rules::backlog::{keeps, patience_ms, ROOM_TOLD_MS};
+use crate::rules::target_choice::NotFound;
+use crate::spec::Resources;
+use crate::targets::{Owner, OwnerSession, Reach};
+use crate::Millis;
+
+use super::peer_calls::{body, Purpose};
+use super::placement::MAX_SCHEDULED;
+use super::Dispatcher;
+
+/// One pass over the tasks that wait here.
+#[derive(Default)]
+pub(super) struct Pass {
+    /// Tasks of this host's callers for which nothing was found.
+    pub(super) left: Vec<WaitingTask>,
+    /// Tasks to be handed over.
+    pub(super) batches: BTreeMap<Name, Vec<(WaitingTask, TaskOrder)>>,
+    /// Whether tasks may be started on this host's targets.
+    starts_here: bool,
+    not_here: NotFound,
+    not_at_peers: NotFound,
+}
+
+impl Pass {
+    /// Returns whether a task that needs so much may find a target here.
+    pub(super) fn may_start_here(
+        &mut self,
+        needed: &Resources,
+        ask: impl FnOnce(&Resources) -> bool,
+    ) -> bool {
+        self.starts_here && self.not_here.may_find(needed, ask)
+    }
+
+    /// Returns whether a peer may take a task that needs so much.
+    pub(super) fn may_hand_over(
+        &mut self,
+        needed: &Resources,
+        ask: impl FnOnce(&Resources) -> bool,
+    ) -> bool {
+        self.not_at_peers.may_find(needed, ask)
+    }
+}
+
+/// A task that waits here.
+enum Next {
+    /// Of a caller of this host.
+    Own(WaitingTask),
+    /// Of a peer.
+    Handed(Priority, Handed),
+}
+
+impl Next {
+    fn priority(&self) -> &Priority {
+        match self {
+            Self::Own(task) => &task.priority,
+            Self::Handed(priority, _) => priority,
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Starts what waits here, the first in priority first, whosever it is, and hands over
+    /// what finds a target sooner elsewhere.
+    pub(super) fn schedule_with_backlog(&mut self, now: Millis) {
+        let mut pass = Pass {
+            starts_here: self.starts_here(now),
+            ..Pass::default()
+        };
+        for next in self.waiting_here(now) {
+            match next {
+                Next::Own(task) => self.place_own(now, &mut pass, task),
+                Next::Handed(_, handed) => self.place_handed(now, &mut pass, &handed),
+            }
+        }
+        self.send_batches(now, std::mem::take(&mut pass.batches));
+        self.advertise(now, &pass.left);
+        if pass.left.is_empty() && self.backlog.is_empty() {
+            self.tell_room(now);
+        }
+    }
+
+    /// Returns the tasks that wait here in the order in which they are looked at.
+    fn waiting_here(&self, now: Millis) -> Vec<Next> {
+        let own = self.jobs.waiting(now, MAX_SCHEDULED);
+        let own = own.into_iter().map(Next::Own);
+        let handed = self.backlog.iter();
+        let handed = handed.map(|handed| Next::Handed(handed.priority(now), handed.clone()));
+        let mut waiting: Vec<Next> = own.chain(handed).collect();
+        waiting.sort_by(|a, b| {
+            let order = a.priority().partial_cmp(b.priority());
+            order.unwrap_or(Ordering::Equal)
+        });
+        waiting
+    }
+
+    /// Starts a task of a peer that waits here, if a target has room.
+    fn place_handed(&mut self, now: Millis, pass: &mut Pass, handed: &Handed) {
+        let needed = handed.task.order.resources;
+        let here = pass.may_start_here(&needed, |r| self.targets.may_fit(now, r));
+        if here && self.start_handed(now, handed) {
+            self.backlog.take(&handed.task.order.id);
+        }
+    }
+
+    /// Starts a task of a peer, near its data as long as waiting for that is worth it.
+    fn start_handed(&mut self, now: Millis, handed: &Handed) -> bool {
+        let order = &handed.task.order;
+        let waited_ms = now.saturating_sub(handed.came);
+        let patient = waited_ms < patience_ms(order.estimate_ms, self.settings.far_slowdown);
+        let reach =
+            if patient && order.rack.is_some() && self.targets.could_run_here(now, order, true) {
+                Reach::Near
+            } else {
+                Reach::Anywhere
+            };
+        self.targets.start(now, &handed.owner, order, reach)
+    }
+
+    /// Starts those of a peer's tasks for which there is a target, and keeps those for which
+    /// there will be one in time.
+    pub(super) fn asked_to_take_over(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        session: OwnerSession,
+        tasks: Vec<HandedTask>,
+    ) -> ReplyBody {
+        let Some(peer) = self.peers.get(name) else {
+            return ReplyBody::Stale;
+        };
+        if !peer.owner_lease.is_valid() {
+            return ReplyBody::Stale;
+        }
+        let hall = peer.info.hall.clone();
+        let (mut started, mut waiting) = (Vec::new(), Vec::new());
+        let mut queue = self.queue_cpu(now);
+        for (position, task) in tasks.into_iter().enumerate() {
+            let handed = Handed {
+                owner: Owner {
+                    host: name.clone(),
+                    session,
+                },
+                hall: hall.clone(),
+                task,
+                came: now,
+            };
+            if !self.may_take(now, &handed) {
+                continue;
+            }
+            if self.start_handed(now, &handed) {
+                started.push(position as u32);
+            } else if self.keep(now, handed, &mut queue) {
+                waiting.push(position as u32);
+            }
+        }
+        ReplyBody::HandedOver { started, waiting }
+    }
+
+    /// Returns whether a task that a peer hands over may be started here, now or later.
+    fn may_take(&self, now: Millis, handed: &Handed) -> bool {
+        let order = &handed.task.order;
+        let in_time = handed.task.latest_begin >= now;
+        let waits_already = self.backlog.has_task(&order.id.task);
+        let open = self.stopping.is_none() && in_time && !waits_already;
+        open && self.targets.may_begin(order)
+    }
+
+    /// Lets a task wait if a target is expected to have room for it in time; `queue` tells for
+    /// how much more there will be, by pool.
+    fn keep(&mut self, now: Millis, handed: Handed, queue: &mut BTreeMap<Name, u32>) -> bool {
+        let order = &handed.task.order;
+        let left = queue.entry(order.pool.clone()).or_default();
+        let cpu = order.resources.cpu;
+        let kept =
+            keeps(cpu, *left, self.backlog.len()) && self.targets.could_run_here(now, order, false);
+        if kept {
+            *left -= cpu;
+            self.backlog.push(handed);
+        }
+        kept
+    }
+
+    /// Returns for how many thousandths of a core tasks may still be handed over, by pool.
+    fn queue_cpu(&self, now: Millis) -> BTreeMap<Name, u32> {
+        let pools = self.pool_loads(now).into_iter();
+        pools.map(|load| (load.pool, load.queue_cpu)).collect()
+    }
+
+    /// Returns what this host's targets have to do, by pool.
+    fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
+        let mut loads = Vec::new();
+        for room in self.targets.pool_rooms(now) {
+            let mut load = PoolLoad {
+                queue_cpu: room.soon_cpu,
+                pool: room.pool,
+                capacity_cpu: room.capacity_cpu,
+                used_cpu: room.used_cpu,
+                waiting: Vec::new(),
+            };
+            for task in self.jobs.waiting(now, MAX_SCHEDULED) {
+                if *self.jobs.pool(&task.job) == load.pool {
+                    add_waiting(
+                        &mut load,
+                        task.priority.urgency,
+                        &task.resources,
+                        task.estimate_ms,
+                    );
+                }
+            }
+            for handed in self.backlog.iter() {
+                let order = &handed.task.order;
+                if order.pool == load.pool {
+                    let urgency = handed.task.priority.urgency;
+                    add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
+                }
+            }
+            load.waiting.sort_by_key(|work| work.urgency);
+            loads.push(load);
+        }
+        loads
+    }
+
+    /// Returns what this host's targets have free and have to do; nothing while it stops.
+    fn holder_load(&self, now: Millis) -> HolderLoad {
+        if self.stopping.is_some() {
+            return HolderLoad::default();
+        }
+        HolderLoad {
+            room: self.targets.room(now),
+            pools: self.pool_loads(now),
+        }
+    }
+
+    /// Adds to a reply what this host's targets have to do.
+    pub(super) fn with_load(&self, now: Millis, body: ReplyBody) -> ReplyBody {
+        ReplyBody::WithLoad {
+            load: self.holder_load(now),
+            body: Box::new(body),
+        }
+    }
+
+    /// Tells the peer with the first demand that there is room here and nothing waits.
+    fn tell_room(&mut self, now: Millis) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let Some((name, demand)) = self.first_demand(now) else {
+            return;
+        };
+        if !self.targets.may_fit(now, &demand) {
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(&name) {
+            peer.room_told = now;
+        }
+        let request = Request::Room(self.holder_load(now));
+        self.call_peer(now, &name, request, Purpose::Room);
+    }
+
+    /// Returns the peer whose demand goes first, of those that weren't told of room just now,
+    /// and the least that any of its tasks needs.
+    fn first_demand(&self, now: Millis) -> Option<(Name, Resources)> {
+        let demanding = self.peers.iter();
+        let demanding = demanding.filter(|(_, peer)| peer.room_told + ROOM_TOLD_MS <= now);
+        let open = demanding.filter_map(|(name, peer)| Some((name, peer.open_demand(now)?)));
+        let first = open.min_by(|(_, a), (_, b)| {
+            let order = a.priority.partial_cmp(&b.priority);
+            order.unwrap_or(Ordering::Equal)
+        });
+        first.map(|(name, open)| (name.clone(), open.demand.smallest))
+    }
+
+    /// A peer has heard of room here: one with nothing that waits isn't told again.
+    pub(super) fn room_replied(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        reply: Result<Reply, SendFailure>,
+    ) {
+        if !matches!(body(reply), Some(ReplyBody::Interested(true))) {
+            if let Some(peer) = self.peers.get_mut(name) {
+                peer.set_demand(now, None);
+            }
+        }
+    }
+
+    /// Takes those of a peer's tasks out of `ids` that wait here, and returns them: the peer
+    /// no longer wants them, or wants to know of them.
+    pub(super) fn withdraw(&mut self, owner: &Name, ids: &mut Vec<AttemptId>) -> Vec<Handed> {
+        let withdrawn = self.backlog.withdraw(owner, ids);
+        ids.retain(|id| withdrawn.iter().all(|handed| handed.task.order.id != *id));
+        withdrawn
+    }
+
+    /// Gives back what may no longer begin here. Looked at before each event, so that nothing
+    /// is started late after this host stood still.
+    pub(super) fn expire_backlog(&mut self, now: Millis) {
+        if !self.backlog.is_empty() {
+            let expired = self.backlog.take_expired(now);
+            self.give_back(expired);
+        }
+    }
+
+    /// Gives back what this host can't start any more: all of it when it stops, else the tasks
+    /// for which it holds no target that could run them.
+    pub(super) fn give_back_hopeless(&mut self, now: Millis) {
+        if self.backlog.is_empty() {
+            return;
+        }
+        let stopping = self.stopping.is_some();
+        let targets = &self.targets;
+        let hopeless = self.backlog.take_where(|handed| {
+            stopping || !targets.could_run_here(now, &handed.task.order, false)
+        });
+        self.give_back(hopeless);
+    }
+
+    /// Tells owners that tasks weren't begun here and never will be.
+    pub(super) fn give_back(&mut self, handed: Vec<Handed>) {
+        for handed in handed {
+            let Some(peer) = self.peers.get_mut(&handed.owner.host) else {
+                continue;
+            };
+            if peer.owner_session() == handed.owner.session && peer.owner_lease.is_valid() {
+                peer.ends.push(AttemptEnd {
+                    id: handed.task.order.id,
+                    outcome: AttemptOutcome::NotBegun,
+                    target: "".into(),
+                });
+            }
+        }
+    }
+}
+
+/// Counts a task among those that wait.
+fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
+    load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
+    let core_ms = core_ms(needed.cpu, estimate_ms);
+    match load.waiting.iter_mut().find(|work| work.urgency == urgency) {
+        Some(work) => {
+            work.tasks += 1;
+            work.core_ms += core_ms;
+        }
+        None => load.waiting.push(WaitingWork {
+            urgency,
+            tasks: 1,
+            core_ms,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -0,0 +1,215 @@
+//! The owner's side of tasks that wait at holders: where each task goes, and what the holders
+//! say of it. See [`crate::rules::holder_choice`] and [`crate::rules::backlog`].
+
+use std::collections::{BTreeMap, HashSet};
+
+use gannetridge_wire::Name;
+
+use crate::decision::Decision;
+use crate::event::SendFailure;
+use crate::jobs::WaitingTask;
+use crate::message::{
+    AttemptId, HandedTask, HolderLoad, Reply, ReplyBody, Request, TargetRoom, TaskOrder,
+};
+use crate::peers::{ChosenHolder, KnownRoom};
+use crate::rules::backlog::{latest_begin, patience_ms};
+use crate::rules::holder_choice::{HolderView, Place, TaskView};
+use crate::targets::Reach;
+use crate::Millis;
+
+use super::backlog::Pass;
+use super::peer_calls::{body, Purpose};
+use super::Dispatcher;
+
+impl Dispatcher {
+    /// Starts a task of a caller of this host here, or picks a peer that will have a target
+    /// for it sooner.
+    pub(super) fn place_own(&mut self, now: Millis, pass: &mut Pass, task: WaitingTask) {
+        let here = pass.may_start_here(&task.resources, |r| self.targets.may_fit(now, r));
+        let at_peers =
+            task.may_ask && pass.may_hand_over(&task.resources, |r| self.peers.may_take(now, r));
+        if !here && !at_peers {
+            pass.left.push(task);
+            return;
+        }
+        let order = self.jobs.order(&task.job, task.index);
+        if here && self.start_own(now, &task, &order, Reach::Near) {
+            return;
+        }
+        let own = self.own_view(now, &task, &order, here);
+        let far_slowdown = self.settings.far_slowdown;
+        let view = TaskView {
+            name: &order.id.task,
+            running_ms: order.estimate_ms,
+            far_slowdown,
+        };
+        let urgency = task.priority.urgency;
+        let is_asked = |name: &Name| pass.batches.contains_key(name);
+        let chosen = if at_peers {
+            self.peers
+                .choose_holder(now, &view, &order, urgency, own, is_asked)
+        } else {
+            Some(ChosenHolder::Own {
+                waits: own.near != Place::None,
+            })
+        };
+        match chosen {
+            Some(ChosenHolder::Own { waits: false })
+                if here && self.start_own(now, &task, &order, Reach::Anywhere) => {}
+            Some(ChosenHolder::Peer(peer)) if peer.has_fresh_clock => {
+                self.jobs
+                    .handed_over(now, &task.job, task.index, &peer.name);
+                let tasks = pass.batches.entry(peer.name).or_default();
+                tasks.push((task, order));
+            }
+            Some(ChosenHolder::Peer(peer)) => {
+                self.ask_clock(now, &peer.name);
+                pass.left.push(task);
+            }
+            Some(ChosenHolder::Own { .. }) | None => pass.left.push(task),
+        }
+    }
+
+    fn start_own(
+        &mut self,
+        now: Millis,
+        task: &WaitingTask,
+        order: &TaskOrder,
+        reach: Reach,
+    ) -> bool {
+        let started = self.targets.start(now, &self.as_owner(), order, reach);
+        if started {
+            self.jobs.started_here(now, &task.job, task.index);
+        }
+        started
+    }
+
+    /// Returns what this host offers a task of its own that found no target near its data.
+    fn own_view(
+        &self,
+        now: Millis,
+        task: &WaitingTask,
+        order: &TaskOrder,
+        may_fit: bool,
+    ) -> HolderView {
+        let patient = task.age_ms < patience_ms(order.estimate_ms, self.settings.far_slowdown);
+        let waits_near =
+            patient && order.rack.is_some() && self.targets.could_run_here(now, order, true);
+        HolderView {
+            other_hall: false,
+            extra_request: false,
+            stale_clock: false,
+            near: if waits_near {
+                Place::Wait { expected_ms: 0 }
+            } else {
+                Place::None
+            },
+            far: if may_fit { Place::Free } else { Place::None },
+            news_age_ms: 0,
+        }
+    }
+
+    /// Hands tasks over to the peers that were picked.
+    pub(super) fn send_batches(
+        &mut self,
+        now: Millis,
+        batches: BTreeMap<Name, Vec<(WaitingTask, TaskOrder)>>,
+    ) {
+        for (name, tasks) in batches {
+            self.send_hand_over(now, &name, tasks);
+        }
+    }
+
+    fn send_hand_over(&mut self, now: Millis, name: &Name, tasks: Vec<(WaitingTask, TaskOrder)>) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        let clock = peer.echoed_clock.map_or(0, |echoed| echoed.clock);
+        let latest_begin = latest_begin(clock, now.saturating_sub(peer.clock_heard()));
+        peer.begin_use(now);
+        let age_ms = now.saturating_sub(peer.free_heard);
+        let tasks: Vec<HandedTask> = tasks
+            .into_iter()
+            .map(|(task, order)| HandedTask {
+                order,
+                queue: self.jobs.queue(&task.job).clone(),
+                priority: task.priority,
+                latest_begin,
+            })
+            .collect();
+        let ids: Vec<AttemptId> = tasks.iter().map(|task| task.order.id.clone()).collect();
+        if let Some(first) = ids.first() {
+            self.record(Decision::TasksHandedOver {
+                peer: name.clone(),
+                first: first.clone(),
+                tasks: ids.len(),
+                age_ms,
+            });
+        }
+        self.call_peer(now, name, Request::HandOver(tasks), Purpose::HandOver(ids));
+    }
+
+    /// Handles what a holder says of tasks that were handed over. Those that wait there are
+    /// heard of again when they end, or are given back.
+    pub(super) fn hand_over_replied(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        ids: &[AttemptId],
+        reply: Result<Reply, SendFailure>,
+    ) {
+        if let Err(SendFailure::Unknown) = reply {
+            return self.stop_and_report(name, ids);
+        }
+        let (started, waiting) = match body(reply) {
+            Some(ReplyBody::HandedOver { started, waiting }) => (started, waiting),
+            _ => (Vec::new(), Vec::new()),
+        };
+        for (position, id) in ids.iter().enumerate() {
+            let position = position as u32;
+            if !waiting.contains(&position) {
+                let started = started.contains(&position);
+                self.jobs.placed(now, id, name, started);
+            }
+        }
+    }
+
+    /// Takes what a peer told of its targets.
+    pub(super) fn load_heard(&mut self, now: Millis, name: &Name, load: HolderLoad) {
+        let room = load.room.into_iter();
+        let room = room.filter_map(|room| self.known_room(room)).collect();
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.heard_load(now, room, load.pools);
+        }
+    }
+
+    /// Returns a peer's target with what is free there; none if this host hasn't heard of it.
+    fn known_room(&self, room: TargetRoom) -> Option<KnownRoom> {
+        let entry = self.targets.entry(&room.target)?.clone();
+        Some(KnownRoom {
+            entry,
+            free: room.free,
+        })
+    }
+
+    /// Takes which targets a peer holds: near which data its tasks can run.
+    pub(super) fn labels_heard(&mut self, name: &Name, leased: &[Name]) {
+        let entries = leased.iter().filter_map(|id| self.targets.entry(id));
+        let labels = entries.flat_map(|entry| entry.labels.iter().cloned());
+        let labels: HashSet<Name> = labels.collect();
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.holds_labels(labels);
+        }
+    }
+
+    /// A peer has room: what waits here is looked at after this event.
+    pub(super) fn room_received(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        load: HolderLoad,
+    ) -> ReplyBody {
+        self.load_heard(now, name, load);
+        ReplyBody::Interested(!self.jobs.none_waits())
+    }
+}
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -1,13 +1,15 @@
 //! One host: events and the time go in, actions come out.
 //!
-//! [`Dispatcher`] owns the host's parts (`Jobs`, `TargetLeases`, `Peers`) and
+//! [`Dispatcher`] owns the host's parts (`Jobs`, `TargetLeases`, `Peers`, `Backlog`) and
 //! hands on what one leaves for another. It has no socket, clock, thread or
 //! randomness of its own; it relies on its caller to give it events in the order of
 //! a steady clock, to carry its actions out, and to come back at
 //! [`Dispatcher::next_timer`].
 
+mod backlog;
 mod caller_requests;
 mod draining;
+mod handing_over;
 mod owner_leases;
 mod peer_calls;
 mod peer_requests;
@@ -19,6 +21,7 @@
 use std::net::SocketAddr;
 
 use crate::action::Action;
+use crate::backlog::Backlog;
 use crate::configuration::Configuration;
 use crate::decision::{ConfigurationSource, Decision, StoreReading};
 use crate::event::Event;
@@ -67,6 +70,7 @@
     jobs: Jobs,
     targets: TargetLeases,
     peers: Peers,
+    backlog: Backlog,
     store_news: StoreNews,
     draining: DrainingHalls,
     /// How this host learns what the store holds, as last logged.
@@ -98,6 +102,7 @@
             jobs: Jobs::new(settings.safeguards),
             targets: TargetLeases::new(&settings, times),
             peers: Peers::new(own.clone(), &settings.seeds, times),
+            backlog: Backlog::default(),
             draining: DrainingHalls::default(),
             noted_reading: None,
             store_news: StoreNews::new(Freshness::new(settings.bounds.drain_ms)),
@@ -170,6 +175,7 @@
             self.targets.doubt_lives();
         }
         self.expire_leases(now);
+        self.expire_backlog(now);
         self.take(now, event);
         if self.timers.next_tick <= now {
             self.tick(now);
--- a/crates/dispatcher-core/src/dispatcher/owner_leases.rs
+++ b/crates/dispatcher-core/src/dispatcher/owner_leases.rs
@@ -41,6 +41,7 @@
         if self.settings.safeguards.owner_leases_expire {
             for name in expired {
                 let reason = StopReason::OwnerSilent;
+                self.backlog.drop_owner(&name, OwnerSession::END);
                 self.targets
                     .stop_owner(now, &name, OwnerSession::END, reason);
             }
--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -11,7 +11,9 @@
 use crate::action::Action;
 use crate::decision::{ConfigurationSource, Decision};
 use crate::event::{CallId, SendFailure};
-use crate::message::{AttemptId, EchoedClock, Envelope, Reply, ReplyBody, Request, TaskOrder};
+use crate::message::{
+    AttemptId, EchoedClock, Envelope, HolderLoad, Reply, ReplyBody, Request, TaskOrder,
+};
 use crate::peers::StopRequest;
 use crate::Millis;
 
@@ -31,6 +33,8 @@
 pub(super) enum Purpose {
     Heartbeat,
     Place(Vec<AttemptId>),
+    HandOver(Vec<AttemptId>),
+    Room,
     Demand,
     Reservation,
     Stop,
@@ -147,11 +151,12 @@
         &mut self,
         now: Millis,
         call: CallId,
-        reply: Result<Reply, SendFailure>,
+        mut reply: Result<Reply, SendFailure>,
     ) {
         let Some(OpenCall { callee, sent }) = self.calls.open.remove(&call) else {
             return;
         };
+        let load = reply.as_mut().ok().and_then(take_load);
         if !matches!(reply, Err(SendFailure::Refused | SendFailure::NotSent)) {
             self.own_delay.observe(now, now.saturating_sub(sent));
             self.targets.set_added_wait(self.own_delay.added_to_waits());
@@ -159,7 +164,7 @@
         match callee {
             Callee::Seed => self.seed_replied(now, reply),
             Callee::Peer { name, purpose } => {
-                self.hear_reply(now, &name, &purpose, &reply);
+                self.hear_reply(now, &name, &purpose, &reply, load);
                 self.use_reply(now, call, &name, purpose, reply);
             }
         }
@@ -180,6 +185,7 @@
         name: &Name,
         purpose: &Purpose,
         reply: &Result<Reply, SendFailure>,
+        load: Option<HolderLoad>,
     ) {
         let reply = match reply {
             Ok(reply) => reply,
@@ -195,6 +201,9 @@
         if self.peers.replied(now, name, reply) {
             self.lose_session(now, name, clock_heard);
         }
+        if let Some(load) = load {
+            self.load_heard(now, name, load);
+        }
         if let Some(peer) = self.peers.get_mut(name) {
             if !matches!(reply.body, ReplyBody::Stale) {
                 peer.heard.acknowledged = Some(now);
@@ -218,11 +227,14 @@
             Purpose::Heartbeat => {
                 if let Some(ReplyBody::Heartbeat(heartbeat)) = body(reply) {
                     self.peers.heartbeat_replied(now, name, &heartbeat);
+                    self.labels_heard(name, &heartbeat.leased);
                     self.fetch_configuration(now, name);
                 }
             }
             Purpose::Demand => {}
             Purpose::Place(ids) => self.place_replied(now, name, &ids, reply),
+            Purpose::HandOver(ids) => self.hand_over_replied(now, name, &ids, reply),
+            Purpose::Room => self.room_replied(now, name, reply),
             Purpose::Reservation => {
                 if !matches!(body(reply), Some(ReplyBody::Interested(true))) {
                     self.reservation_declined(now, name);
@@ -269,14 +281,7 @@
         reply: Result<Reply, SendFailure>,
     ) {
         if let Err(SendFailure::Unknown) = reply {
-            // The tasks may run there: they are stopped, and the peer reports the
-            // end of each, at once of those that never came.
-            if let Some(peer) = self.peers.get_mut(name) {
-                let stops = ids.iter().cloned();
-                peer.stops
-                    .extend(stops.map(|id| StopRequest { id, report: true }));
-            }
-            return;
+            return self.stop_and_report(name, ids);
         }
         let started = match body(reply) {
             Some(ReplyBody::Placed(started)) => started,
@@ -288,6 +293,16 @@
         }
     }
 
+    /// Has tasks stopped that may run at a peer; it reports the end of each, at once of those
+    /// that never came.
+    pub(super) fn stop_and_report(&mut self, name: &Name, ids: &[AttemptId]) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            let stops = ids.iter().cloned();
+            peer.stops
+                .extend(stops.map(|id| StopRequest { id, report: true }));
+        }
+    }
+
     /// Asks a peer for its configuration if that is newer than this host's.
     pub(super) fn fetch_configuration(&mut self, now: Millis, name: &Name) {
         let theirs = self.peers.get(name).map_or(0, |peer| peer.version);
@@ -304,6 +319,20 @@
     reply.ok().map(|reply| reply.body)
 }
 
+/// Takes out of a reply what the peer's targets have to do, if it tells.
+fn take_load(reply: &mut Reply) -> Option<HolderLoad> {
+    match std::mem::replace(&mut reply.body, ReplyBody::Acknowledged) {
+        ReplyBody::WithLoad { load, body } => {
+            reply.body = *body;
+            Some(load)
+        }
+        body => {
+            reply.body = body;
+            None
+        }
+    }
+}
+
 /// Returns whether a peer has carried out what it was asked.
 fn is_acknowledged(reply: &Result<Reply, SendFailure>) -> bool {
     let reply = reply.as_ref();
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -13,7 +13,8 @@
     AttemptEnd, AttemptId, AttemptOutcome, Envelope, FreeResources, Heartbeat, HeartbeatReply,
     Reply, ReplyBody, Request, TaskOrder,
 };
-use crate::targets::{Owner, OwnerSession};
+use crate::settings::WaitingAt;
+use crate::targets::{Owner, OwnerSession, Reach};
 use crate::Millis;
 
 use super::peer_calls::SEED_SESSION;
@@ -61,6 +62,7 @@
             peer.owner_lease.session = envelope.session;
             let session = OwnerSession::of(envelope);
             let reason = StopReason::NewSession;
+            self.backlog.drop_owner(name, session);
             self.targets.stop_owner(now, name, session, reason);
         }
         self.renew_owner_lease(now, name, envelope);
@@ -100,8 +102,14 @@
                 ReplyBody::Acknowledged
             }
             Request::Reservation(free) => self.reservation_received(now, name, &free),
-            Request::Stop { keys, report } => {
+            Request::HandOver(tasks) => self.asked_to_take_over(now, name, session, tasks),
+            Request::Room(load) => self.room_received(now, name, load),
+            Request::Stop { mut keys, report } => {
                 let reason = StopReason::Requested;
+                let withdrawn = self.withdraw(name, &mut keys);
+                if report {
+                    self.give_back(withdrawn);
+                }
                 let missing = self.targets.stop(now, name, &keys, report, reason);
                 if report {
                     self.report_lost(name, missing);
@@ -123,10 +131,14 @@
     }
 
     fn reply(&mut self, now: Millis, request_id: RequestId, body: ReplyBody) {
+        let (free, body) = match self.settings.scheduling.waiting_at {
+            WaitingAt::Owner => (self.free_for_peers(now), body),
+            WaitingAt::Holder => (Vec::new(), self.with_load(now, body)),
+        };
         let reply = Box::new(Reply {
             incarnation: self.own.incarnation,
             clock: now,
-            free: self.free_for_peers(now),
+            free,
             body,
         });
         self.actions.push(Action::Reply { request_id, reply });
@@ -180,7 +192,7 @@
         let open = self.stopping.is_none();
         let mut started = Vec::new();
         for (position, order) in orders.iter().enumerate() {
-            if open && self.targets.start(now, &owner, order) {
+            if open && self.targets.start(now, &owner, order, Reach::Anywhere) {
                 started.push(position as u32);
             }
         }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -11,7 +11,8 @@
 use crate::message::{Demand, Priority, Request, TaskOrder};
 use crate::rules::peer_choice::is_advertised;
 use crate::rules::target_choice::NotFound;
-use crate::targets::{Owner, OwnerSession};
+use crate::settings::WaitingAt;
+use crate::targets::{Owner, OwnerSession, Reach};
 use crate::Millis;
 
 use super::peer_calls::{Purpose, PEER_RETRY_MS};
@@ -65,6 +66,13 @@
 impl Dispatcher {
     /// Finds targets for the tasks that wait, the first in priority first.
     pub(super) fn schedule(&mut self, now: Millis) {
+        match self.settings.scheduling.waiting_at {
+            WaitingAt::Owner => self.schedule_with_reservations(now),
+            WaitingAt::Holder => self.schedule_with_backlog(now),
+        }
+    }
+
+    fn schedule_with_reservations(&mut self, now: Millis) {
         let mut pass = Pass::default();
         if self.jobs.none_waits() {
             return self.reserve_for_peers(now, &mut pass, None);
@@ -83,7 +91,7 @@
 
     /// Returns whether tasks may be started on this host's targets: not while it is
     /// stopping, unless no other host could.
-    fn starts_here(&self, now: Millis) -> bool {
+    pub(super) fn starts_here(&self, now: Millis) -> bool {
         self.stopping.is_none() || self.peers.staying(now, false).is_empty()
     }
 
@@ -103,7 +111,11 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
-        if here && self.targets.start(now, &self.as_owner(), &order) {
+        if here
+            && self
+                .targets
+                .start(now, &self.as_owner(), &order, Reach::Anywhere)
+        {
             self.jobs.started_here(now, &task.job, task.index);
             return;
         }
@@ -124,7 +136,7 @@
     }
 
     /// Returns this host as the owner of attempts on its own targets.
-    fn as_owner(&self) -> Owner {
+    pub(super) fn as_owner(&self) -> Owner {
         Owner {
             host: self.own.name.clone(),
             session: OwnerSession {
@@ -135,7 +147,7 @@
     }
 
     /// Asks a peer for its clock, so that tasks can be handed to it.
-    fn ask_clock(&mut self, now: Millis, name: &Name) {
+    pub(super) fn ask_clock(&mut self, now: Millis, name: &Name) {
         let peer = self.peers.get_mut(name);
         if peer.is_some_and(|peer| peer.ask_clock(now, PEER_RETRY_MS)) {
             let heartbeat = Request::Heartbeat(self.heartbeat());
@@ -192,7 +204,7 @@
 
     /// Advertises the tasks for which nothing was found: those of the first one's
     /// pool.
-    fn advertise(&mut self, now: Millis, left: &[WaitingTask]) {
+    pub(super) fn advertise(&mut self, now: Millis, left: &[WaitingTask]) {
         let Some(first) = left.first() else {
             return;
         };
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -96,6 +96,7 @@
         let peers = &self.peers;
         let claimed = |id: &Name| peers.is_leased_elsewhere(now, id);
         self.targets.assign(now, &hosts, claimed, may_acquire);
+        self.give_back_hopeless(now);
     }
 
     /// Returns the hosts that share the targets: those that stay or may be there, or this one
--- a/crates/dispatcher-core/src/jobs/attempts.rs
+++ b/crates/dispatcher-core/src/jobs/attempts.rs
@@ -96,7 +96,7 @@
         if !task.state.is_running() && !late_success {
             return;
         }
-        job.begun = true;
+        job.begun |= end.outcome != AttemptOutcome::NotBegun;
         job.next_due = 0;
         let consequence = retry::after(end.outcome, task.failures, max_attempts);
         task.attempt += consequence.advance;
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -25,6 +25,10 @@
     pub priority: Priority,
     /// What it takes.
     pub resources: Resources,
+    /// Its estimate, in ms.
+    pub estimate_ms: Millis,
+    /// Time since its job was accepted, in ms.
+    pub age_ms: Millis,
     /// Whether peers may be asked that are only believed to have the resources.
     pub may_ask: bool,
 }
@@ -61,6 +65,8 @@
                         index,
                         priority,
                         resources: job.spec.steps[task.step].resources,
+                        estimate_ms: job.spec.steps[task.step].estimate_ms,
+                        age_ms: now.saturating_sub(job.accepted),
                         may_ask: task.ask_after <= now,
                     });
                 }
@@ -127,6 +133,16 @@
         }
     }
 
+    /// Returns the queue of a job.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such job.
+    #[must_use]
+    pub fn queue(&self, id: &Name) -> &Name {
+        &self.jobs[id].queue.name
+    }
+
     /// Returns the pool of a job's targets.
     ///
     /// # Panics
--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `jobs`: the owner's side, for jobs of the callers connected here
 //! - `targets`: the targets, and the leases on them that this host holds
 //! - `peers`: the other hosts
+//! - `backlog`: tasks of peers that wait here for targets
 //! - [`target_list`]: the platform's list of targets, and its changes
 //! - [`store_news`]: from which version of the store what is believed comes, and when
 //! - [`dispatcher`]: hands on what one of these leaves for another
@@ -18,6 +19,7 @@
 //! a log line to its rule.
 
 pub mod action;
+mod backlog;
 pub mod configuration;
 pub mod decision;
 pub mod dispatcher;
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -99,6 +99,20 @@
     pub avoid: Vec<Name>,
 }
 
+impl TaskOrder {
+    /// Returns the processor time that it is expected to take, in core-ms.
+    #[must_use]
+    pub fn core_ms(&self) -> u64 {
+        core_ms(self.resources.cpu, self.estimate_ms)
+    }
+}
+
+/// Returns the processor time in core-ms of `cpu` thousandths of a core used for `ms`.
+#[must_use]
+pub fn core_ms(cpu: u32, ms: Millis) -> u64 {
+    u64::from(cpu) * ms / 1_000
+}
+
 /// What decides first between waiting tasks, the first variant before the
 /// others; see `rules::priority`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -219,6 +233,8 @@
     /// The target has seen this or a later attempt of the task.
     #[serde(rename = "Outnumbered")]
     StaleAttempt,
+    /// The task was handed over and not begun, and never will be under this attempt's number.
+    NotBegun,
 }
 
 impl AttemptOutcome {
@@ -230,6 +246,7 @@
             Self::Failed => "failed",
             Self::Lost => "lost",
             Self::StaleAttempt => "outnumbered",
+            Self::NotBegun => "not begun",
         }
     }
 }
@@ -260,6 +277,10 @@
     /// Says that these resources are reserved for the receiver for a moment.
     #[serde(rename = "Offer")]
     Reservation(FreeResources),
+    /// Asks to start tasks, or to let them wait for targets until their latest begin.
+    HandOver(Vec<HandedTask>),
+    /// Says what the sender's targets have to do, where they have room and nothing waits.
+    Room(HolderLoad),
     /// Asks to stop attempts.
     Stop {
         /// The attempts.
@@ -296,6 +317,8 @@
             Self::Place(_) => "place",
             Self::Demand(_) => "want",
             Self::Reservation(_) => "offer",
+            Self::HandOver(_) => "hand-over",
+            Self::Room(_) => "room",
             Self::Stop { .. } => "stop",
             Self::Ended(_) => "ended",
             Self::Configuration => "queues",
@@ -348,6 +371,22 @@
     StoreNews(Option<StoreNewsReply>),
     /// What changed in the platform's store; none if the host doesn't know.
     PlatformNews(Option<PlatformNewsReply>),
+    /// To tasks that were handed over: positions in the request of those that were started,
+    /// and of those that wait. Of the others the receiver keeps nothing.
+    HandedOver {
+        /// Those that were started.
+        started: Vec<u32>,
+        /// Those that wait.
+        waiting: Vec<u32>,
+    },
+    /// Any of the others, with what the sender's targets have to do: told where tasks wait
+    /// at the holders of targets.
+    WithLoad {
+        /// What the sender's targets have to do.
+        load: HolderLoad,
+        /// The rest.
+        body: Box<ReplyBody>,
+    },
     /// Nothing was done: the request is of an earlier incarnation or session,
     /// or the sender's owner lease has expired.
     Stale,
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -6,6 +6,8 @@
 
 use super::{Peer, Peers};
 use crate::message::TaskOrder;
+use crate::rules::backlog::HANDED_MS;
+use crate::rules::holder_choice::{choose, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
 use crate::spec::Resources;
 use crate::Millis;
@@ -20,6 +22,18 @@
     pub has_fresh_clock: bool,
 }
 
+/// The holder that was chosen for a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChosenHolder {
+    /// This host.
+    Own {
+        /// Whether the task waits here.
+        waits: bool,
+    },
+    /// A peer.
+    Peer(ChosenPeer),
+}
+
 impl Peers {
     /// Returns whether any peer is believed to have such resources.
     #[must_use]
@@ -29,6 +43,14 @@
         open.any(|peer| peer.may_fit(resources))
     }
 
+    /// Returns whether any peer is believed to take a task with such needs, now or to wait.
+    #[must_use]
+    pub fn may_take(&self, now: Millis, resources: &Resources) -> bool {
+        let peers = self.peers.values();
+        let mut open = peers.filter(|peer| peer.takes_tasks(now));
+        open.any(|peer| peer.may_take(resources))
+    }
+
     /// Chooses a peer that is believed to have the resources for an order, and
     /// takes them off that belief; see [`crate::rules::peer_choice`].
     ///
@@ -64,6 +86,53 @@
         Some(chosen)
     }
 
+    /// Chooses the holder to which a task is handed, this host (`own`) among them, and takes
+    /// the task off what is believed of a peer; see [`crate::rules::holder_choice`].
+    ///
+    /// `is_asked` tells whether a request goes to a peer anyway.
+    pub fn choose_holder(
+        &mut self,
+        now: Millis,
+        task: &TaskView<'_>,
+        order: &TaskOrder,
+        urgency: u8,
+        own: HolderView,
+        is_asked: impl Fn(&Name) -> bool,
+    ) -> Option<ChosenHolder> {
+        let open = self.peers.values().filter(|peer| peer.takes_tasks(now));
+        let mut names: Vec<Option<&Name>> = vec![None];
+        let mut views = vec![own];
+        for peer in open {
+            let places = peer.places(now, order, urgency);
+            if places.near == Place::None && places.far == Place::None {
+                continue;
+            }
+            names.push(Some(&peer.info.name));
+            views.push(HolderView {
+                other_hall: peer.info.hall != self.own.hall,
+                extra_request: !is_asked(&peer.info.name),
+                stale_clock: !peer.has_fresh_clock(now),
+                near: places.near,
+                far: places.far,
+                news_age_ms: places.age_ms,
+            });
+        }
+        let choice = choose(task, &views, HANDED_MS)?;
+        let Some(name) = names[choice.holder].cloned() else {
+            return Some(ChosenHolder::Own {
+                waits: choice.waits,
+            });
+        };
+        let has_fresh_clock = !views[choice.holder].stale_clock;
+        if let Some(peer) = self.peers.get_mut(&name) {
+            peer.deduct_handed(order, urgency);
+        }
+        Some(ChosenHolder::Peer(ChosenPeer {
+            name,
+            has_fresh_clock,
+        }))
+    }
+
     /// Returns the peers to which a demand is advertised, others each time if there
     /// are many: not those of draining halls, unless there are no others.
     pub fn advertised_to(&mut self, now: Millis) -> Vec<Name> {
--- /dev/null
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -0,0 +1,152 @@
+//! What a peer's targets have free and have to do, as last heard, less what was handed over
+//! since.
+
+use std::collections::HashSet;
+
+use gannetridge_wire::Name;
+
+use crate::message::{PoolLoad, TaskOrder};
+use crate::rules::holder_choice::Place;
+use crate::spec::Resources;
+use crate::target_list::TargetEntry;
+use crate::Millis;
+
+use super::peer::Peer;
+
+/// A target of a peer with room.
+#[derive(Clone, Debug)]
+pub struct KnownRoom {
+    /// The target, as the platform lists it.
+    pub entry: TargetEntry,
+    /// What is free there.
+    pub free: Resources,
+}
+
+/// What a peer's targets have free and have to do.
+#[derive(Debug, Default)]
+pub(super) struct BelievedLoad {
+    heard: Millis,
+    room: Vec<KnownRoom>,
+    pools: Vec<PoolLoad>,
+    /// The labels of the targets that it holds.
+    labels: HashSet<Name>,
+}
+
+/// Where a peer could take a task, as far as is believed.
+#[derive(Clone, Copy, Debug)]
+pub struct BelievedPlaces {
+    /// On targets near its data.
+    pub near: Place,
+    /// On other targets.
+    pub far: Place,
+    /// The age of that belief, in ms.
+    pub age_ms: Millis,
+}
+
+impl Peer {
+    /// Takes what it told of its targets.
+    pub fn heard_load(&mut self, now: Millis, room: Vec<KnownRoom>, pools: Vec<PoolLoad>) {
+        self.load.heard = now;
+        self.load.room = room;
+        self.load.pools = pools;
+    }
+
+    /// Takes the labels of the targets that it holds.
+    pub fn holds_labels(&mut self, labels: HashSet<Name>) {
+        self.load.labels = labels;
+    }
+
+    /// Forgets what is believed of its targets.
+    pub(super) fn forget_load(&mut self) {
+        self.load.room.clear();
+        self.load.pools.clear();
+    }
+
+    /// Returns whether it is believed to take a task with such needs, now or to wait.
+    pub(super) fn may_take(&self, needed: &Resources) -> bool {
+        let mut room = self.load.room.iter();
+        let mut pools = self.load.pools.iter();
+        room.any(|room| room.free.fits(needed)) || pools.any(|pool| needed.cpu <= pool.queue_cpu)
+    }
+
+    /// Returns where it could take a task, whose queue has this urgency.
+    pub(super) fn places(&self, now: Millis, order: &TaskOrder, urgency: u8) -> BelievedPlaces {
+        let mut places = BelievedPlaces {
+            near: Place::None,
+            far: Place::None,
+            age_ms: now.saturating_sub(self.load.heard),
+        };
+        let room = self.load.room.iter();
+        for room in room.filter(|room| room.fits(order)) {
+            if is_near(&room.entry.labels, order) {
+                places.near = Place::Free;
+            } else {
+                places.far = Place::Free;
+            }
+        }
+        let Some(expected_ms) = self.expected_wait(order, urgency) else {
+            return places;
+        };
+        let wait = Place::Wait { expected_ms };
+        let holds_near = match &order.rack {
+            Some(rack) => self.load.labels.contains(rack),
+            None => true,
+        };
+        if places.near == Place::None && holds_near {
+            places.near = wait;
+        }
+        if places.far == Place::None && order.rack.is_some() {
+            places.far = wait;
+        }
+        places
+    }
+
+    /// Returns for how long a task is expected to wait there, in ms, if it may.
+    fn expected_wait(&self, order: &TaskOrder, urgency: u8) -> Option<Millis> {
+        let mut pools = self.load.pools.iter();
+        let pool = pools.find(|load| load.pool == order.pool)?;
+        if order.resources.cpu > pool.queue_cpu {
+            return None;
+        }
+        let ahead = pool.waiting.iter().filter(|work| work.urgency <= urgency);
+        let ahead: u64 = ahead.map(|work| work.core_ms).sum();
+        let capacity = u64::from(pool.capacity_cpu.max(1));
+        Some(ahead * 1_000 / capacity)
+    }
+
+    /// Takes a task that is handed to it off what is believed of its targets.
+    pub(super) fn deduct_handed(&mut self, order: &TaskOrder, urgency: u8) {
+        let room = self.load.room.iter_mut();
+        let fitting = room.filter(|room| room.fits(order));
+        let best = fitting.min_by_key(|room| {
+            let far = !is_near(&room.entry.labels, order);
+            (far, room.free.cpu)
+        });
+        if let Some(room) = best {
+            room.free = room.free.minus(&order.resources);
+            return;
+        }
+        let mut pools = self.load.pools.iter_mut();
+        let Some(pool) = pools.find(|load| load.pool == order.pool) else {
+            return;
+        };
+        pool.queue_cpu = pool.queue_cpu.saturating_sub(order.resources.cpu);
+        let core_ms = order.core_ms();
+        if let Some(work) = pool.waiting.iter_mut().find(|work| work.urgency == urgency) {
+            work.tasks += 1;
+            work.core_ms += core_ms;
+        }
+    }
+}
+
+impl KnownRoom {
+    fn fits(&self, order: &TaskOrder) -> bool {
+        self.free.fits(&order.resources) && crate::rules::target_choice::suits(&self.entry, order)
+    }
+}
+
+/// Returns whether a target with these labels is near a task's data.
+fn is_near(labels: &[Name], order: &TaskOrder) -> bool {
+    let rack = order.rack.as_ref();
+    rack.is_none_or(|rack| labels.contains(rack))
+}
--- a/crates/dispatcher-core/src/peers/mod.rs
+++ b/crates/dispatcher-core/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 mod choice;
 mod demand;
+mod load;
 mod membership;
 mod outbox;
 mod owner_lease;
@@ -26,6 +27,8 @@
 use crate::rules::liveness::{is_in_minority, may_be_there};
 use crate::Millis;
 
+pub use choice::ChosenHolder;
+pub use load::KnownRoom;
 use membership::Membership;
 pub use peer::{Peer, StopRequest};
 
--- a/crates/dispatcher-core/src/peers/peer.rs
+++ b/crates/dispatcher-core/src/peers/peer.rs
@@ -15,6 +15,7 @@
 use crate::Millis;
 
 use super::demand::HeardDemand;
+use super::load::BelievedLoad;
 use super::outbox::Outbox;
 use super::owner_lease::OwnerLease;
 use super::schedule::Schedule;
@@ -66,6 +67,9 @@
     /// The targets whose leases it holds.
     leased: HashSet<Name>,
     pub(super) demand: Option<HeardDemand>,
+    pub(super) load: BelievedLoad,
+    /// When it was last told of room here.
+    pub room_told: Millis,
     /// How long the first heartbeat to an incarnation of it waits, in ms.
     first_wait: Millis,
     schedule: Schedule,
@@ -102,6 +106,8 @@
             leaving: false,
             leased: HashSet::new(),
             demand: None,
+            load: BelievedLoad::default(),
+            room_told: 0,
             first_wait,
             schedule: Schedule::due_at(now + first_wait),
         }
@@ -159,6 +165,7 @@
         self.owner_lease.session = 0;
         self.heard.unanswered_since = None;
         self.demand = None;
+        self.forget_load();
     }
 
     /// Records its clock, as it was when it sent what just came.
@@ -223,6 +230,7 @@
         self.session += 1;
         self.stops.clear();
         self.free.clear();
+        self.forget_load();
         self.end_use();
     }
 
--- /dev/null
+++ b/crates/dispatcher-core/src/rules/backlog.rs
@@ -0,0 +1,46 @@
+//! How long a task may wait at the holder of targets, and how many may.
+//!
+//! **Rule.** A task that finds no target at once is handed over to one holder, where it waits
+//! in memory: at most for [`HANDED_MS`], reckoned on the holder's clock. After that the holder
+//! never starts it, and gives it back as not begun. A holder keeps a task only if its targets
+//! are expected to have room for it in that time, beside all that waits there already; at most
+//! [`MOST_HANDED`] tasks of peers wait at one holder.
+//!
+//! A task whose data lies in a rack waits for a target there as long as it would lose by
+//! running far from it ([`patience_ms`]), and then runs anywhere.
+//!
+//! **Inputs.** Times in ms, thousandths of a core. A holder that dies, freezes or is cut off
+//! costs its waiting tasks no more than a lost attempt does: the owner takes them for lost with
+//! the session, and tries them again when all attempts there are over. **Gives up.** A target that
+//! gets room elsewhere meanwhile isn't used for a task that waits here, for that long.
+
+use crate::Millis;
+
+/// How long a task may wait at a holder, in ms: longer than most targets need to end something,
+/// and short against the time in which callers expect answers.
+pub const HANDED_MS: Millis = 120;
+/// The most tasks of peers that wait at one holder: bounds memory, and the work of one event.
+pub const MOST_HANDED: usize = 64;
+/// Between two messages that tell one peer of room, in ms.
+pub const ROOM_TOLD_MS: Millis = 20;
+
+/// Returns the latest time on a holder's clock at which a task may begin that is handed over
+/// now. The clock showed `clock` when it was heard, `heard_ms_ago`.
+#[must_use]
+pub fn latest_begin(clock: Millis, heard_ms_ago: Millis) -> Millis {
+    clock + heard_ms_ago + HANDED_MS
+}
+
+/// Returns whether a holder keeps a task that takes `cpu`, where `queue_cpu` is still free for
+/// tasks that wait, and `handed` tasks of peers wait already.
+#[must_use]
+pub fn keeps(cpu: u32, queue_cpu: u32, handed: usize) -> bool {
+    cpu <= queue_cpu && handed < MOST_HANDED
+}
+
+/// Returns for how many ms a task waits for a target near its data before it runs anywhere.
+#[must_use]
+pub fn patience_ms(estimate_ms: Millis, far_slowdown: f64) -> Millis {
+    let lost = estimate_ms as f64 * (far_slowdown - 1.0).max(0.0);
+    (lost as Millis).min(HANDED_MS)
+}
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -11,6 +11,7 @@
 //! | Which waiting task goes first? | [`priority`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
+//! | To which holder is a task handed, and how long may it wait there? | [`holder_choice`], [`backlog`] |
 //! | What follows from the end of an attempt? | [`retry`] |
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`], [`draining`] |
@@ -28,11 +29,13 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod backlog;
 pub mod congestion;
 pub mod contention;
 pub mod draining;
 pub mod giving_up;
 pub mod heartbeat_intervals;
+pub mod holder_choice;
 pub mod leases;
 pub mod liveness;
 pub mod membership;
--- a/crates/dispatcher-core/src/rules/retry.rs
+++ b/crates/dispatcher-core/src/rules/retry.rs
@@ -2,7 +2,8 @@
 //!
 //! **Rule.** A task that is done is done. A failed one is tried again, elsewhere,
 //! until it failed as often as its queue allows; then its job fails. One that was
-//! lost, or could not begin, is tried again elsewhere and doesn't count as failed.
+//! lost, or could not begin, is tried again elsewhere and doesn't count as failed. One that a
+//! holder gave back before it began may go anywhere, there too.
 //! Where the target has seen a later attempt, the next attempt's number passes it
 //! by `STALE_ATTEMPT_SKIP`.
 //!
@@ -79,6 +80,10 @@
             ..again
         },
         AttemptOutcome::Lost => again,
+        AttemptOutcome::NotBegun => Consequence {
+            avoid_target: false,
+            ..again
+        },
         AttemptOutcome::StaleAttempt => Consequence {
             advance: STALE_ATTEMPT_SKIP,
             avoid_target: false,
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -15,6 +15,7 @@
 mod lives;
 mod renewals;
 mod replies;
+mod room;
 mod starts;
 mod stops;
 mod target;
@@ -38,6 +39,7 @@
 use claims::Assignment;
 use lease::Tokens;
 use list::StoreView;
+pub use starts::Reach;
 use target::Target;
 pub use usable::Runnable;
 
--- /dev/null
+++ b/crates/dispatcher-core/src/targets/room.rs
@@ -0,0 +1,102 @@
+//! What this host's targets have free, and what they are expected to free: what holders tell
+//! each other where tasks wait at holders. See [`crate::rules::backlog`].
+
+use std::cmp::Reverse;
+
+use gannetridge_wire::Name;
+
+use crate::message::{TargetRoom, TaskOrder};
+use crate::rules::backlog::HANDED_MS;
+use crate::rules::target_choice;
+use crate::target_list::TargetEntry;
+use crate::Millis;
+
+use super::target::Target;
+use super::TargetLeases;
+
+/// The most targets with room that a message tells of, the freest: a peer hands over what fits,
+/// and hears again with the reply.
+const MOST_ROOM_TOLD: usize = 8;
+
+/// What this host's usable targets of one pool have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolRoom {
+    /// The pool.
+    pub pool: Name,
+    /// Thousandths of a core that they have.
+    pub capacity_cpu: u32,
+    /// Thousandths of a core in use.
+    pub used_cpu: u32,
+    /// Thousandths of a core that are free, or are expected to be before a task that comes now
+    /// may no longer begin.
+    pub soon_cpu: u32,
+}
+
+impl TargetLeases {
+    /// Returns a target of the list.
+    #[must_use]
+    pub fn entry(&self, id: &Name) -> Option<&TargetEntry> {
+        self.targets.get(id).map(|target| &target.entry)
+    }
+
+    /// Returns the usable targets with free resources, the freest first.
+    #[must_use]
+    pub fn room(&self, now: Millis) -> Vec<TargetRoom> {
+        let usable = self.usable_targets(now);
+        let room = usable.map(|target| TargetRoom {
+            target: target.entry.id.clone(),
+            free: target.free(),
+        });
+        let mut room: Vec<TargetRoom> = room.filter(|room| room.free.cpu > 0).collect();
+        room.sort_by_key(|room| Reverse(room.free.cpu));
+        room.truncate(MOST_ROOM_TOLD);
+        room
+    }
+
+    /// Returns what the usable targets have, by pool.
+    #[must_use]
+    pub fn pool_rooms(&self, now: Millis) -> Vec<PoolRoom> {
+        let mut rooms: Vec<PoolRoom> = Vec::new();
+        for target in self.usable_targets(now) {
+            let known = rooms.iter_mut().find(|room| room.pool == target.entry.pool);
+            let room = match known {
+                Some(room) => room,
+                None => {
+                    rooms.push(PoolRoom::empty(&target.entry.pool));
+                    rooms.last_mut().expect("just added")
+                }
+            };
+            room.add(now, target);
+        }
+        rooms
+    }
+
+    /// Returns whether a usable target could run a task, now or once it has the resources;
+    /// with `near` only those near its data.
+    #[must_use]
+    pub fn could_run_here(&self, now: Millis, order: &TaskOrder, near: bool) -> bool {
+        let mut usable = self.usable_targets(now);
+        usable.any(|target| {
+            let far = target_choice::is_far(&target.entry, order);
+            target_choice::could_run(&target.entry, order) && !(near && far)
+        })
+    }
+}
+
+impl PoolRoom {
+    fn empty(pool: &Name) -> Self {
+        Self {
+            pool: pool.clone(),
+            capacity_cpu: 0,
+            used_cpu: 0,
+            soon_cpu: 0,
+        }
+    }
+
+    fn add(&mut self, now: Millis, target: &Target) {
+        let free = target.free().cpu;
+        self.capacity_cpu += target.entry.capacity.cpu;
+        self.used_cpu += target.entry.capacity.cpu.saturating_sub(free);
+        self.soon_cpu += free + target.expected_to_free(now, HANDED_MS);
+    }
+}
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -15,17 +15,34 @@
 /// measured.
 const RESERVATION_MS: Millis = 30;
 
+/// On which targets a task may be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// On those near its data.
+    Near,
+    /// On any.
+    Anywhere,
+}
+
 impl TargetLeases {
+    /// Returns whether a task may be started here: it isn't running here, and wasn't stopped
+    /// before it came.
+    #[must_use]
+    pub fn may_begin(&self, order: &TaskOrder) -> bool {
+        let known = self.tasks.contains(&order.id.task);
+        !known && !self.stopped_early.contains_key(&order.id)
+    }
+
     /// Starts a task if a target has the resources for it; see [`target_choice`].
     /// Returns whether it did.
-    pub fn start(&mut self, now: Millis, owner: &Owner, order: &TaskOrder) -> bool {
-        let known = self.tasks.contains(&order.id.task);
-        if known || self.stopped_early.contains_key(&order.id) {
+    pub fn start(&mut self, now: Millis, owner: &Owner, order: &TaskOrder, reach: Reach) -> bool {
+        if !self.may_begin(order) {
             return false;
         }
         let fitting = self.usable_targets(now).filter(|target| {
             !target.is_reserved_for_others(now, &owner.host)
                 && target_choice::suits(&target.entry, order)
+                && (reach == Reach::Anywhere || !target_choice::is_far(&target.entry, order))
                 && target.fits(order)
         });
         let cost = |target: &&Target| target.cost(now, order, self.far_slowdown);
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -128,6 +128,16 @@
         })
     }
 
+    /// Returns the thousandths of a core that attempts are expected to free within so many ms.
+    pub(super) fn expected_to_free(&self, now: Millis, within_ms: Millis) -> u32 {
+        let attempts = self.attempts.values();
+        let ending = attempts.filter(|attempt| {
+            let running = attempt.running_time(now);
+            running.estimate_ms <= running.since_ms + within_ms
+        });
+        ending.map(|attempt| attempt.resources.cpu).sum()
+    }
+
     /// Keeps the free resources for a peer until a time.
     pub(super) fn reserve(&mut self, peer: &Name, until: Millis) {
         self.reservation = Some(Reservation {
--- a/crates/dispatcher-sim/src/scenario.rs
+++ b/crates/dispatcher-sim/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use gannetridge_dispatcher_core::{Bounds, Millis, Safeguards};
+use gannetridge_dispatcher_core::{Bounds, Millis, Safeguards, Scheduling};
 
 use crate::checks::Violation;
 use crate::world::World;
@@ -34,6 +34,8 @@
     pub verbose: bool,
     /// The deployment's bounds.
     pub bounds: Bounds,
+    /// The ways that hosts use.
+    pub scheduling: Scheduling,
     /// The mechanisms that hosts have.
     pub safeguards: Safeguards,
 }
@@ -54,6 +56,7 @@
             restart_gap_ms: 0,
             guards: seed % 2 == 0,
             verbose: false,
+            scheduling: Scheduling::default(),
             safeguards: Safeguards::default(),
             bounds: Bounds {
                 retransmit_ms: 1_300,
--- a/crates/dispatcher-sim/src/world/building.rs
+++ b/crates/dispatcher-sim/src/world/building.rs
@@ -69,7 +69,7 @@
             bounds: self.scenario.bounds,
             epoch_ms: EPOCH_MS + base + skew,
             far_slowdown: 1.5,
-            scheduling: gannetridge_dispatcher_core::Scheduling::default(),
+            scheduling: self.scenario.scheduling,
             safeguards: self.scenario.safeguards,
         };
         Host {
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use anyhow::bail;
+use gannetridge_dispatcher_core::settings::{Scheduling, WaitingAt};
 use gannetridge_dispatcher_sim::checks::Rule;
 use gannetridge_dispatcher_sim::{run as play, Outcome, Scenario};
 use gannetridge_entry_sim::parallel::map;
@@ -56,6 +57,11 @@
         meta = "N"
     )]
     restart_gap_ms: u64,
+    #[options(
+        no_short,
+        help = "let tasks wait at the holders of targets, not at their owners"
+    )]
+    wait_at_holder: bool,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -63,6 +69,14 @@
 /// Runs the seeds and prints what came of them. Fails on any violation.
 pub fn run(options: &Dispatch) -> anyhow::Result<()> {
     let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
+    let scheduling = Scheduling {
+        waiting_at: if options.wait_at_holder {
+            WaitingAt::Holder
+        } else {
+            WaitingAt::Owner
+        },
+        ..Scheduling::default()
+    };
     let outcomes = map(&seeds, |seed| {
         play(&Scenario {
             load_ms: options.load_ms,
@@ -73,6 +87,7 @@
             hosts: options.hosts,
             targets: options.targets,
             jobs_per_s: options.rate,
+            scheduling,
             ..Scenario::new(*seed)
         })
     });
