--- a/crates/lab/src/account/jobs.rs
+++ b/crates/lab/src/account/jobs.rs
@@ -11,6 +11,10 @@
     pub task: String,
     /// The target.
     pub target: String,
+    /// The host that started it, which holds the target.
+    pub holder: String,
+    /// The holder's hall; empty if no line tells it.
+    pub holder_hall: String,
     /// When its start was sent, in ms of the logs' time.
     pub started: i64,
     /// Its end, if one was noted.
@@ -38,6 +42,8 @@
 /// One job at the host that accepted it.
 #[derive(Clone, Debug)]
 pub struct Job {
+    /// The host that accepted it.
+    pub host: String,
     /// Its queue.
     pub queue: String,
     /// The hall of its host; empty if no line tells it.
@@ -119,6 +125,7 @@
         let key = (line.text("job").to_owned(), line.host.clone());
         let hall = self.halls.get(&line.host).cloned();
         self.jobs.entry(key).or_insert_with(|| Job {
+            host: line.host.clone(),
             queue: line.text("queue").to_owned(),
             hall: hall.unwrap_or_default(),
             accepted: line.at,
@@ -139,11 +146,14 @@
             return;
         };
         let place = (key, job.attempts.len());
+        let holder_hall = self.halls.get(&line.host).cloned();
         self.attempts
             .insert((task.to_owned(), whole(line, "run")), place);
         job.attempts.push(Attempt {
             task: task.to_owned(),
             target: line.text("target").to_owned(),
+            holder: line.host.clone(),
+            holder_hall: holder_hall.unwrap_or_default(),
             started: line.at,
             end: None,
         });
--- a/crates/lab/src/account/tally.rs
+++ b/crates/lab/src/account/tally.rs
@@ -27,7 +27,8 @@
 }
 
 impl Counts {
-    fn add(&mut self, outcome: Outcome) {
+    /// Adds a job's outcome.
+    pub fn add(&mut self, outcome: Outcome) {
         self.asked += 1;
         match outcome {
             Outcome::OnTime => self.on_time += 1,
@@ -45,6 +46,9 @@
     }
 }
 
+/// The heads of the columns in which [`Counts`] are printed.
+pub const COUNTS_HEAD: &str = " asked  on time   late  refused  unfinished   worth";
+
 impl fmt::Display for Counts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -153,8 +157,7 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let head = "  asked  on time   late  refused  unfinished   worth";
-        writeln!(f, "{:>20} {head}  bound", "window, s")?;
+        writeln!(f, "{:>20}  {COUNTS_HEAD}  bound", "window, s")?;
         for (at, window) in &self.windows {
             let seconds = (at * self.window_ms) as f64 / 1_000.0;
             writeln!(
@@ -164,7 +167,7 @@
             )?;
         }
         for (title, parts) in [("queue", &self.queues), ("hall", &self.halls)] {
-            writeln!(f, "{title:>20} {head}")?;
+            writeln!(f, "{title:>20}  {COUNTS_HEAD}")?;
             for (name, counts) in parts {
                 writeln!(f, "{name:>20}  {counts}")?;
             }
--- a/crates/lab/src/cmd/mod.rs
+++ b/crates/lab/src/cmd/mod.rs
@@ -4,3 +4,4 @@
 pub mod chaos;
 pub mod dispatch;
 pub mod mutants;
+pub mod placement;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,9 @@
 //! `gannetridge-lab`: the command line of both simulators, for runs by hand, and the
-//! account of what hosts' logs tell.
+//! accounts of what hosts' logs tell.
 
 mod account;
 mod cmd;
+mod placement;
 
 use std::process::ExitCode;
 
@@ -33,6 +34,9 @@
     /// Puts known faults back in.
     #[options(help = "show that the checks find mechanisms that are missing")]
     Mutants(cmd::mutants::Mutants),
+    /// Where work went, from hosts' logs.
+    #[options(help = "where work went and what waited, from the logs of the hosts")]
+    Placement(cmd::placement::Placement),
 }
 
 fn main() -> ExitCode {
@@ -49,6 +53,7 @@
         Some(Command::Chaos(options)) => cmd::chaos::run(&options),
         Some(Command::Dispatch(options)) => cmd::dispatch::run(&options),
         Some(Command::Mutants(options)) => cmd::mutants::run(&options),
+        Some(Command::Placement(options)) => cmd::placement::run(&options),
     };
     exit_code("gannetridge-lab", outcome)
 }
