Choose the holder at which a task waits by its expected end

A task that finds no target has to wait where the targets are, and its owner has to say where. The choice is a rule of its own that runs without a network: the end by the way, the wait and the running time, near its data or far, own hall first unless the other is clearly sooner, with two choices in proportion to room among holders that old news can't tell apart.

--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -11,6 +11,7 @@
 //! | Which waiting task goes first? | [`priority`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
+//! | At which holder does a task wait? | [`holder_choice`], [`hall_load`] |
 //! | What follows from the end of an attempt? | [`retry`] |
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`], [`draining`] |
@@ -32,7 +33,9 @@
 pub mod contention;
 pub mod draining;
 pub mod giving_up;
+pub mod hall_load;
 pub mod heartbeat_intervals;
+pub mod holder_choice;
 pub mod leases;
 pub mod liveness;
 pub mod membership;
