--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -97,14 +97,24 @@
             patient && order.rack.is_some() && self.targets.could_run_here(now, order, true);
         HolderView {
             other_hall: false,
+            way_ms: 0,
             extra_request: false,
             stale_clock: false,
             near: if waits_near {
-                Place::Wait { expected_ms: 0 }
+                Place::Wait {
+                    spare_cpu: order.resources.cpu,
+                    expected_ms: 0,
+                }
+            } else {
+                Place::None
+            },
+            far: if may_fit {
+                Place::Free {
+                    spare_cpu: order.resources.cpu,
+                }
             } else {
                 Place::None
             },
-            far: if may_fit { Place::Free } else { Place::None },
             news_age_ms: 0,
         }
     }
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -7,11 +7,16 @@
 use super::{Peer, Peers};
 use crate::message::TaskOrder;
 use crate::rules::backlog::HANDED_MS;
-use crate::rules::holder_choice::{choose, HolderView, Place, TaskView};
+use crate::rules::holder_choice::{choose, Begin, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
 use crate::spec::Resources;
 use crate::Millis;
 
+/// How long a message takes to a host of the same hall, in ms, with its handling there.
+const HALL_WAY_MS: Millis = 1;
+/// How long a message takes to a host of another hall, in ms, with its handling there.
+const OTHER_HALL_WAY_MS: Millis = 2;
+
 /// A peer that is believed to have the resources for a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChosenPeer {
@@ -108,8 +113,14 @@
                 continue;
             }
             names.push(Some(&peer.info.name));
+            let other_hall = peer.info.hall != self.own.hall;
             views.push(HolderView {
-                other_hall: peer.info.hall != self.own.hall,
+                other_hall,
+                way_ms: if other_hall {
+                    OTHER_HALL_WAY_MS
+                } else {
+                    HALL_WAY_MS
+                },
                 extra_request: !is_asked(&peer.info.name),
                 stale_clock: !peer.has_fresh_clock(now),
                 near: places.near,
@@ -120,7 +131,7 @@
         let choice = choose(task, &views, HANDED_MS)?;
         let Some(name) = names[choice.holder].cloned() else {
             return Some(ChosenHolder::Own {
-                waits: choice.waits,
+                waits: choice.begin == Begin::AfterWait,
             });
         };
         let has_fresh_clock = !views[choice.holder].stale_clock;
--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -6,7 +6,9 @@
 use gannetridge_wire::Name;
 
 use crate::message::{PoolLoad, TaskOrder};
+use crate::rules::hall_load::expected_wait_ms;
 use crate::rules::holder_choice::Place;
+use crate::rules::target_choice::suits;
 use crate::spec::Resources;
 use crate::target_list::TargetEntry;
 use crate::Millis;
@@ -76,18 +78,20 @@
             far: Place::None,
             age_ms: now.saturating_sub(self.load.heard),
         };
+        let (mut near_cpu, mut far_cpu) = (0, 0);
         let room = self.load.room.iter();
         for room in room.filter(|room| room.fits(order)) {
             if is_near(&room.entry.labels, order) {
-                places.near = Place::Free;
+                near_cpu += room.free.cpu;
             } else {
-                places.far = Place::Free;
+                far_cpu += room.free.cpu;
             }
         }
-        let Some(expected_ms) = self.expected_wait(order, urgency) else {
+        places.near = free_or_none(near_cpu);
+        places.far = free_or_none(far_cpu);
+        let Some(wait) = self.expected_wait(order, urgency) else {
             return places;
         };
-        let wait = Place::Wait { expected_ms };
         let holds_near = match &order.rack {
             Some(rack) => self.load.labels.contains(rack),
             None => true,
@@ -101,17 +105,20 @@
         places
     }
 
-    /// Returns for how long a task is expected to wait there, in ms, if it may.
-    fn expected_wait(&self, order: &TaskOrder, urgency: u8) -> Option<Millis> {
+    /// Returns how a task is expected to wait there, if it may.
+    fn expected_wait(&self, order: &TaskOrder, urgency: u8) -> Option<Place> {
         let mut pools = self.load.pools.iter();
         let pool = pools.find(|load| load.pool == order.pool)?;
         if order.resources.cpu > pool.queue_cpu {
             return None;
         }
-        let ahead = pool.waiting.iter().filter(|work| work.urgency <= urgency);
-        let ahead: u64 = ahead.map(|work| work.core_ms).sum();
-        let capacity = u64::from(pool.capacity_cpu.max(1));
-        Some(ahead * 1_000 / capacity)
+        let capacity_cpu = u64::from(pool.capacity_cpu);
+        let core_ms = order.core_ms();
+        let expected_ms = expected_wait_ms(&pool.waiting, capacity_cpu, urgency, core_ms)?;
+        Some(Place::Wait {
+            spare_cpu: pool.queue_cpu,
+            expected_ms,
+        })
     }
 
     /// Takes a task that is handed to it off what is believed of its targets.
@@ -141,7 +148,15 @@
 
 impl KnownRoom {
     fn fits(&self, order: &TaskOrder) -> bool {
-        self.free.fits(&order.resources) && crate::rules::target_choice::suits(&self.entry, order)
+        self.free.fits(&order.resources) && suits(&self.entry, order)
+    }
+}
+
+fn free_or_none(spare_cpu: u32) -> Place {
+    if spare_cpu > 0 {
+        Place::Free { spare_cpu }
+    } else {
+        Place::None
     }
 }
 
