Order waiting tasks by urgency, then class, then shares

Class went before urgency: a short urgent job leaves its class after some 100 ms, a long one keeps it for 600, so the most urgent queue did worst in an overload, and what had begun went before all whatever its queue.

--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -8,7 +8,8 @@
 //! | question | rule |
 //! |---|---|
 //! | Why was this request rejected at once? | [`admission`] |
-//! | Which waiting task goes first? | [`priority`] |
+//! | Which waiting task goes first? | [`priority`], [`waiting_order`] |
+//! | Which queue or hall is due, and what may long tasks hold? | [`shares`], [`long_tasks`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | What follows from the end of an attempt? | [`retry`] |
@@ -35,11 +36,14 @@
 pub mod heartbeat_intervals;
 pub mod leases;
 pub mod liveness;
+pub mod long_tasks;
 pub mod membership;
 pub mod peer_choice;
 pub mod priority;
 pub mod progress;
 pub mod retry;
+pub mod shares;
 pub mod store_readers;
 pub mod target_choice;
 pub mod target_health;
+pub mod waiting_order;
--- /dev/null
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -0,0 +1,204 @@
+//! Which queue is due next, and which hall of origin within it.
+//!
+//! **Rule.** Start-time fair queueing, a weighted max-min share in two levels: the queues of
+//! one urgency, and the halls of origin of one queue. Each has a virtual time, which grows by
+//! the processor time of its started tasks over its weight; the least is due first. Nobody's
+//! room is kept for it: while one has no waiting task the others use its share, and when it
+//! returns it begins where the one that is furthest behind is, neither ahead for what it left
+//! nor behind for what it used of others' shares. Between two that wait all the time, what they
+//! used over their weights differs by the largest task of each at most.
+//!
+//! Urgencies have no shares but a least one: an urgency that used less than [`LEAST_SHARE`] of
+//! what was started lately is due before more urgent ones, so that it isn't starved. The next
+//! task of `core_ms` waits until the use that was counted for the earlier ones has decayed: at
+//! most `HALF_LIFE_MS * log2(core_ms / (LEAST_SHARE * all))`, and not at all where that is
+//! negative.
+//!
+//! **Inputs.** Processor time of started tasks by estimate in core-ms, time in ms, weights.
+//! **Reason.** A queue or a hall that sends more than its share makes only its own callers
+//! wait. Nothing is known of client accounts; a queue stands for one. **Gives up.** Each holder
+//! counts what it starts itself: shares are equal over all holders as far as tasks of all
+//! queues and halls reach each of them. An attempt that is lost was counted all the same.
+
+use std::collections::BTreeMap;
+
+use gannetridge_wire::Name;
+
+use crate::Millis;
+
+/// The part of the room that the waiting tasks of each urgency get whatever is more urgent.
+pub const LEAST_SHARE: f64 = 0.05;
+/// What an urgency has used counts half after this time, in ms: within the deadlines of
+/// callers, so that the least share comes while it is of use to them.
+const HALF_LIFE_MS: f64 = 1_000.0;
+/// The most names that one level remembers: bounds memory.
+const MAX_NAMES: usize = 128;
+
+/// Weights of queues and of halls; 1 for those without one.
+#[derive(Clone, Debug, Default)]
+pub struct Weights {
+    /// By queue.
+    pub queues: BTreeMap<Name, u32>,
+    /// By hall.
+    pub halls: BTreeMap<Name, u32>,
+}
+
+/// For whom a task runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin<'a> {
+    /// The urgency of its queue; 0 is the most urgent.
+    pub urgency: u8,
+    /// Its queue.
+    pub queue: &'a Name,
+    /// The hall of the host that its caller is connected to.
+    pub hall: &'a Name,
+}
+
+/// How far ahead of the others an origin is, in core-ms over its weight; the least is due.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Due {
+    /// Its queue among those of its urgency.
+    pub queue: f64,
+    /// Its hall within the queue.
+    pub hall: f64,
+}
+
+/// Virtual times of those who share something.
+#[derive(Clone, Debug, Default)]
+struct FairQueue {
+    /// Where one begins that returns.
+    virtual_time: f64,
+    /// Until where those are served that are further.
+    served: Vec<(Name, f64)>,
+}
+
+impl FairQueue {
+    /// Returns where the next task of a name begins.
+    fn start_of(&self, name: &Name) -> f64 {
+        let found = self.served.iter().find(|(other, _)| other == name);
+        found.map_or(self.virtual_time, |(_, until)| until.max(self.virtual_time))
+    }
+
+    fn started(&mut self, name: &Name, cost: f64) {
+        let until = self.start_of(name) + cost;
+        match self.served.iter_mut().find(|(other, _)| other == name) {
+            Some(entry) => entry.1 = until,
+            None => self.remember(name, until),
+        }
+    }
+
+    /// Remembers one more name; without space for it, the one that is least ahead is forgotten.
+    fn remember(&mut self, name: &Name, until: f64) {
+        if self.served.len() >= MAX_NAMES {
+            let entries = self.served.iter().enumerate();
+            let least = entries.min_by(|(_, a), (_, b)| a.1.total_cmp(&b.1));
+            if let Some((position, _)) = least {
+                self.served.swap_remove(position);
+            }
+        }
+        self.served.push((name.clone(), until));
+    }
+
+    /// Advances the virtual time to the one of those that wait that is least ahead.
+    fn advance<'a>(&mut self, waiting: impl Iterator<Item = &'a Name>) {
+        let starts = waiting.map(|name| self.start_of(name));
+        if let Some(least) = starts.min_by(f64::total_cmp) {
+            self.virtual_time = least;
+            self.served.retain(|(_, until)| *until > least);
+        }
+    }
+}
+
+/// What the queues of one urgency have used.
+#[derive(Clone, Debug, Default)]
+struct Level {
+    queues: FairQueue,
+    /// By queue.
+    halls: BTreeMap<Name, FairQueue>,
+    /// Processor time of what was started lately, in core-ms.
+    used: f64,
+}
+
+/// What queues and halls have used of the targets of one pool that a host holds.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    weights: Weights,
+    levels: BTreeMap<u8, Level>,
+    /// When what urgencies used was decayed last.
+    decayed: Millis,
+}
+
+impl Shares {
+    /// Creates shares of which nothing is used.
+    #[must_use]
+    pub fn new(weights: Weights) -> Self {
+        Self {
+            weights,
+            ..Self::default()
+        }
+    }
+
+    /// Records that a task was started.
+    pub fn started(&mut self, now: Millis, origin: &Origin<'_>, core_ms: u64) {
+        self.decay(now);
+        let core_ms = core_ms as f64;
+        let level = self.levels.entry(origin.urgency).or_default();
+        level.used += core_ms;
+        let queue_cost = core_ms / weight(&self.weights.queues, origin.queue);
+        level.queues.started(origin.queue, queue_cost);
+        let halls = level.halls.entry(origin.queue.clone()).or_default();
+        halls.started(
+            origin.hall,
+            core_ms / weight(&self.weights.halls, origin.hall),
+        );
+    }
+
+    /// Takes in whose tasks wait; called before they are compared.
+    pub fn advance<'a>(&mut self, now: Millis, waiting: impl Iterator<Item = Origin<'a>> + Clone) {
+        self.decay(now);
+        for (urgency, level) in &mut self.levels {
+            let here = waiting.clone().filter(|origin| origin.urgency == *urgency);
+            level
+                .queues
+                .advance(here.clone().map(|origin| origin.queue));
+            for (queue, halls) in &mut level.halls {
+                let of_queue = here.clone().filter(|origin| origin.queue == queue);
+                halls.advance(of_queue.map(|origin| origin.hall));
+            }
+            level.halls.retain(|_, halls| !halls.served.is_empty());
+        }
+    }
+
+    /// Returns how far ahead an origin is of others of its urgency.
+    #[must_use]
+    pub fn due(&self, origin: &Origin<'_>) -> Due {
+        let level = self.levels.get(&origin.urgency);
+        let halls = level.and_then(|level| level.halls.get(origin.queue));
+        Due {
+            queue: level.map_or(0.0, |level| level.queues.start_of(origin.queue)),
+            hall: halls.map_or(0.0, |halls| halls.start_of(origin.hall)),
+        }
+    }
+
+    /// Returns whether an urgency has used less than its least share.
+    #[must_use]
+    pub fn is_below_least(&self, urgency: u8) -> bool {
+        let all: f64 = self.levels.values().map(|level| level.used).sum();
+        let used = self.levels.get(&urgency).map_or(0.0, |level| level.used);
+        used < LEAST_SHARE * all
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let passed = now.saturating_sub(self.decayed) as f64;
+        let kept = (-passed / HALF_LIFE_MS).exp2();
+        for level in self.levels.values_mut() {
+            level.used *= kept;
+        }
+        self.decayed = self.decayed.max(now);
+    }
+}
+
+fn weight(weights: &BTreeMap<Name, u32>, name: &Name) -> f64 {
+    let weight = weights.get(name).copied().unwrap_or(1);
+    f64::from(weight.max(1))
+}
