--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -3,8 +3,7 @@
 //! **Rule.** A task is long for a more urgent queue if it is estimated to run for longer than
 //! the slack of that queue's jobs: one that waits for its end is late. Room for the more urgent
 //! work is then kept free of it: as much as that work took on average lately, and
-//! [`SAFETY`] times the square root of it, in tasks, for how its arrivals vary. What is kept is
-//! nested: for each urgency, the tasks that are long for it and less urgent may hold the
+//! [`SAFETY`] times the standard deviation of independent arrivals. What is kept is nested: for each urgency, the tasks that are long for it and less urgent may hold the
 //! room less what is kept for it and all that is more urgent. Never more than [`MOST_KEPT`] of
 //! the room is kept, and one long task may always run. What arrived is forgotten by half in
 //! `HALF_LIFE_MS`, so that the room is given back when nobody needs it.
@@ -12,18 +11,21 @@
 //! **Inputs.** Arrivals: urgency, thousandths of a core, estimate and slack in ms; running
 //! attempts. **Reason.** Urgency alone decides when a target becomes free, and a long task
 //! frees none for its whole time: a burst of them that finds room takes it from all who come
-//! after it. The slack tells what callers can wait. The square root is what independent
-//! arrivals need (square-root staffing); the nesting is that of trunk reservation.
+//! after it. The slack tells what callers can wait. The deviation is the
+//! reserve of square-root staffing, the nesting that of trunk reservation.
 //! **Gives up.** Room that is kept stands idle while less urgent long tasks wait.
 
 use std::collections::BTreeMap;
 
 use crate::Millis;
 
-/// Room beyond the average, in square roots of the average number of tasks at a time.
-const SAFETY: f64 = 1.0;
+/// Room beyond the average, in standard deviations of what arrives: more of it stands idle for
+/// longer than it helps.
+const SAFETY: f64 = 0.5;
 /// The most of the room that is kept free of long tasks.
 const MOST_KEPT: f64 = 0.5;
+/// Fewer tasks at a time than this don't count.
+const LEAST_TASKS: f64 = 0.1;
 /// What arrived counts half after this time, in ms: it spans the gaps between jobs of a queue,
 /// and is soon over when they end.
 const HALF_LIFE_MS: f64 = 1_500.0;
@@ -62,16 +64,26 @@
         self.work_by_slack / self.work
     }
 
-    /// Returns whether a task is long for this urgency's work.
+    /// Returns whether a task is long for this urgency's work, of which there is some.
     fn finds_long(&self, estimate_ms: Millis) -> bool {
-        self.work > 0.0 && estimate_ms as f64 > self.slack_ms()
+        let some = self.average() > LEAST_TASKS * self.task_cpu();
+        some && estimate_ms as f64 > self.slack_ms()
     }
 
-    /// Returns the thousandths of a core that its work takes, with what it takes at times.
-    fn needed(&self) -> f64 {
-        let average = self.work * std::f64::consts::LN_2 / HALF_LIFE_MS;
-        let task_cpu = self.work_by_cpu / self.work;
-        average + SAFETY * (average * task_cpu).sqrt()
+    /// Returns the thousandths of a core of an ordinary task.
+    fn task_cpu(&self) -> f64 {
+        self.work_by_cpu / self.work
+    }
+
+    /// Returns the thousandths of a core that its work takes on average.
+    fn average(&self) -> f64 {
+        self.work * std::f64::consts::LN_2 / HALF_LIFE_MS
+    }
+
+    /// Returns the variance of the thousandths of a core that its work takes at a time, if
+    /// tasks arrive independently.
+    fn variance(&self) -> f64 {
+        self.average() * self.task_cpu()
     }
 }
 
@@ -104,18 +116,20 @@
         running: impl Iterator<Item = TaskSize> + Clone,
     ) -> bool {
         self.decay(now);
-        let mut kept = 0.0;
+        let most_kept = MOST_KEPT * f64::from(capacity_cpu);
+        let (mut average, mut variance) = (0.0, 0.0);
         for (urgency, arrived) in self.arrived.range(..task.urgency) {
             if !arrived.finds_long(task.estimate_ms) {
                 continue;
             }
-            kept += arrived.needed();
+            average += arrived.average();
+            variance += arrived.variance();
+            let kept = (average + SAFETY * variance.sqrt()).min(most_kept);
             let is_long = |other: &TaskSize| {
                 other.urgency > *urgency && arrived.finds_long(other.estimate_ms)
             };
             let held: u32 = running.clone().filter(is_long).map(|other| other.cpu).sum();
-            let bound = f64::from(capacity_cpu) - kept.min(MOST_KEPT * f64::from(capacity_cpu));
-            if held > 0 && f64::from(held + task.cpu) > bound {
+            if held > 0 && f64::from(held + task.cpu) > f64::from(capacity_cpu) - kept {
                 return false;
             }
         }
--- a/crates/dispatcher-core/src/rules/waiting_order.rs
+++ b/crates/dispatcher-core/src/rules/waiting_order.rs
@@ -1,25 +1,26 @@
 //! Which waiting task goes first where the tasks of all hosts' callers wait together.
 //!
-//! **Rule.** By the urgency of the queue; within an urgency by class (jobs that have begun,
-//! jobs that can be on time, jobs that will be late), then by who is due
-//! ([`super::shares`]: queues, then halls of origin), then by the latest start that keeps the
-//! class. An urgency below its least share goes before more urgent ones with what can still be
-//! on time. What is worth nothing any more goes last. Whether a task's owner is this host or a
-//! peer makes no difference.
+//! **Rule.** What can still be on time or has begun goes before what will be late, and what
+//! is worth nothing any more goes last. Then by the urgency of the queue, but an urgency below
+//! its least share goes before more urgent ones. Within an urgency what has begun goes first,
+//! then by who is due ([`super::shares`]: queues, then halls of origin), then by the latest
+//! start that keeps the class. Whether a task's owner is this host or a peer makes no
+//! difference.
 //!
-//! A job is a unit: what has begun goes first within its urgency, and none begins while the
-//! room until its latest end doesn't suffice for it and for what has begun ([`may_begin`]).
+//! A job is a unit: what has begun goes first within its urgency, and a job counts as late as
+//! soon as the room until its latest start doesn't suffice for it and for what has begun
+//! ([`may_begin`]).
 //!
 //! **Inputs.** Class and slack in ms as [`super::priority`] reckons them, the queue, its
 //! urgency, the hall of origin, shares; for beginnings, work in core-ms and room in
-//! thousandths of a core. **Reason.** A short job has little slack and is late soon, a long one
-//! keeps its slack: with class before urgency the most urgent queue, if its jobs are short, is
-//! served last in an overload. A late answer is worth less than one on time, so within an
-//! urgency late jobs wait for those on time; before less urgent ones they go even so, since else
-//! the smallest delay costs an urgent job its place for good. **Gives up.** A less urgent job
-//! may be late, or not served, for the sake of a late one of a more urgent queue. A job that
-//! began out of its share holds it until its tasks are started; its queue and hall wait so much
-//! longer for the next.
+//! thousandths of a core. **Reason.** A late answer takes as much room as one on time and is
+//! worth less, whatever its queue. Among jobs on time and what has begun the urgency decides
+//! alone: if what has begun went first whatever its queue, or what has least slack, the long
+//! jobs of other queues would pass urgent short ones in an overload. Without the rule for
+//! beginnings jobs that need many targets begin at their latest start one task at a time, and
+//! end late. **Gives up.** A late urgent job isn't served while less urgent ones on time fill
+//! the room. What of a job began out of its share goes on; its queue and hall wait longer for
+//! the next.
 
 use std::cmp::Ordering;
 
@@ -40,17 +41,37 @@
 }
 
 impl Waiting<'_> {
-    /// Returns whether it counts for shares: tasks that will be late don't.
+    /// Returns whether it has begun or can be on time; shares are reckoned over these.
     #[must_use]
     pub fn counts(&self) -> bool {
         self.class <= PriorityClass::OnTime
     }
 }
 
+/// What decides first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Worth {
+    /// The job has begun, or its answer can be on time.
+    Whole,
+    /// The answer will be late.
+    Part,
+    None,
+}
+
+impl Worth {
+    fn of(class: PriorityClass) -> Self {
+        match class {
+            PriorityClass::Begun | PriorityClass::OnTime => Self::Whole,
+            PriorityClass::Late => Self::Part,
+            PriorityClass::Worthless => Self::None,
+        }
+    }
+}
+
 /// The place of a waiting task; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Place {
-    worthless: bool,
+    worth: Worth,
     has_least_share: bool,
     urgency: u8,
     class: PriorityClass,
@@ -63,8 +84,8 @@
 pub fn place(task: &Waiting<'_>, shares: &Shares) -> Place {
     let urgency = task.origin.urgency;
     Place {
-        worthless: task.class == PriorityClass::Worthless,
-        has_least_share: !(task.counts() && shares.is_below_least(urgency)),
+        worth: Worth::of(task.class),
+        has_least_share: !shares.is_below_least(urgency),
         urgency,
         class: task.class,
         due: shares.due(&task.origin),
@@ -93,9 +114,9 @@
 }
 
 /// Returns whether a job may begin: `room_cpu` thousandths of a core do its `core_ms` and the
-/// `begun_core_ms` that are left of what has begun within the `left_ms` that the job has.
+/// `begun_core_ms` that are left of what has begun within `slack_ms`, until its latest start.
 #[must_use]
-pub fn may_begin(core_ms: u64, begun_core_ms: u64, room_cpu: u32, left_ms: Millis) -> bool {
-    let room = u64::from(room_cpu) * left_ms / 1_000;
+pub fn may_begin(core_ms: u64, begun_core_ms: u64, room_cpu: u32, slack_ms: Millis) -> bool {
+    let room = u64::from(room_cpu) * slack_ms / 1_000;
     begun_core_ms + core_ms <= room
 }
--- /dev/null
+++ b/crates/dispatcher-core/tests/waiting_order.rs
@@ -0,0 +1,265 @@
+//! Which callers get what where tasks compete for the targets of one holder.
+
+#[path = "support/room.rs"]
+mod room;
+mod support;
+
+use std::cmp::Ordering;
+
+use gannetridge_dispatcher_core::message::PriorityClass;
+use gannetridge_dispatcher_core::rules::long_tasks::{LongTasks, TaskSize};
+use gannetridge_dispatcher_core::rules::shares::{Origin, Shares, LEAST_SHARE};
+use gannetridge_dispatcher_core::rules::waiting_order::{compare, may_begin, Waiting};
+use gannetridge_dispatcher_core::Millis;
+use room::{play, Load, Order, Outcome, Ways};
+use support::case;
+
+const SLOTS: u32 = 40;
+const MS: Millis = 10_000;
+const SEEDS: u64 = 4;
+/// A queue whose load the room holds has this part of its answers on time.
+const SERVED: f64 = 0.95;
+
+fn load(queue: &'static str, urgency: u8, tasks: u32, task_ms: Millis, part: f64) -> Load {
+    Load {
+        queue,
+        hall: "north",
+        urgency,
+        tasks,
+        task_ms,
+        slots: part * f64::from(SLOTS),
+        time: 0..MS,
+    }
+}
+
+/// Urgent jobs of many short tasks that take a part of the room.
+fn quick(part: f64) -> Load {
+    load("quick", 0, 8, 60, part)
+}
+
+fn middle(part: f64) -> Load {
+    load("middle", 1, 2, 200, part)
+}
+
+/// Jobs of long tasks that aren't urgent.
+fn long(part: f64) -> Load {
+    load("long", 2, 4, 900, part)
+}
+
+fn ways(order: Order) -> Ways {
+    Ways {
+        order,
+        shares: Shares::default(),
+        units: true,
+        bounded: true,
+    }
+}
+
+/// The order by class, without shares, units or a bound for long tasks.
+fn by_class() -> Ways {
+    let order: Order = |a, b, _| {
+        let key = |task: &Waiting<'_>| (task.class, task.origin.urgency, task.slack_ms);
+        key(a).cmp(&key(b))
+    };
+    Ways {
+        units: false,
+        bounded: false,
+        ..ways(order)
+    }
+}
+
+fn plays(loads: &[Load], ways: &Ways) -> impl Iterator<Item = Outcome> {
+    let (loads, ways) = (loads.to_vec(), ways.clone());
+    (0..SEEDS).map(move |seed| play(seed, SLOTS, MS, &loads, ways.clone()))
+}
+
+/// The part of a queue's jobs that are on time, in the mean of all seeds.
+fn on_time(queue: &str, loads: &[Load], ways: &Ways) -> f64 {
+    let parts = plays(loads, ways).map(|outcome| outcome.on_time(queue));
+    parts.sum::<f64>() / SEEDS as f64
+}
+
+/// The slots that a queue got on average, from one hall or all, in the mean of all seeds.
+fn slots(queue: &str, hall: Option<&str>, loads: &[Load], ways: &Ways) -> f64 {
+    let got = plays(loads, ways).map(|outcome| outcome.got(queue, hall).slot_ms);
+    got.sum::<f64>() / (SEEDS * MS) as f64
+}
+
+case!(urgent_jobs_are_on_time_in_a_burst_of_long_ones, {
+    let burst = long(0.8).during(2_000..MS);
+    let loads = [quick(0.14), middle(0.34), long(0.19), burst];
+    assert!(on_time("quick", &loads, &by_class()) < 0.8);
+    assert!(on_time("quick", &loads, &ways(compare)) >= SERVED);
+});
+
+case!(long_jobs_get_in_their_burst_what_others_leave, {
+    let loads = [quick(0.14), middle(0.14), long(1.0)];
+    // What is kept for others beyond their average stands idle at times.
+    let left = 0.72 - 0.1;
+    let got = slots("long", None, &loads, &ways(compare));
+    assert!(got >= left * f64::from(SLOTS), "{got}");
+});
+
+case!(an_urgent_burst_finds_room_that_is_full_of_long_tasks, {
+    let burst = quick(0.3).during(5_000..7_000);
+    let loads = [quick(0.14), burst, long(0.8)];
+    let gained = on_time("quick", &loads, &ways(compare)) - on_time("quick", &loads, &by_class());
+    assert!(gained > 0.1, "{gained}");
+});
+
+case!(a_late_answer_takes_no_room_from_one_on_time, {
+    let loads = [quick(0.14), middle(0.6), quick(1.2).during(4_000..6_000)];
+    let urgent_first: Order = |a, b, shares| {
+        let urgency = a.origin.urgency.cmp(&b.origin.urgency);
+        urgency.then(compare(a, b, shares))
+    };
+    let gained = |queue| {
+        let strict = on_time(queue, &loads, &ways(urgent_first));
+        on_time(queue, &loads, &ways(compare)) - strict
+    };
+    assert!(gained("middle") > 0.0, "{}", gained("middle"));
+    assert!(gained("quick") > -0.01, "{}", gained("quick"));
+});
+
+case!(the_least_urgent_are_not_starved, {
+    let loads = [quick(1.5), long(0.3)];
+    let got = slots("long", None, &loads, &ways(compare));
+    assert!(got >= LEAST_SHARE * f64::from(SLOTS), "{got}");
+});
+
+case!(jobs_that_begin_end_on_time, {
+    let loads = [quick(1.5), middle(0.34), long(0.19)];
+    let alone = Ways {
+        units: false,
+        ..ways(compare)
+    };
+    let gained = on_time("quick", &loads, &ways(compare)) - on_time("quick", &loads, &alone);
+    assert!(gained > 0.1, "{gained}");
+});
+
+/// Returns whether three halls of which one has twice the callers get equal shares of a room
+/// that is too small.
+fn halls_get_equal_shares(order: Order) -> bool {
+    let from = |hall, part| middle(part).from(hall);
+    let loads = [from("north", 0.5), from("south", 0.5), from("west", 1.0)];
+    let due = f64::from(SLOTS) / 3.0;
+    ["north", "south", "west"].into_iter().all(|hall| {
+        let got = slots("middle", Some(hall), &loads, &ways(order));
+        (got - due).abs() < 0.1 * due
+    })
+}
+
+case!(a_hall_whose_callers_double_takes_nothing_from_others, {
+    assert!(halls_get_equal_shares(compare));
+});
+
+case!(an_order_that_prefers_own_callers_is_found, {
+    let prefers_own: Order = |a, b, shares| {
+        let other = |task: &Waiting<'_>| &**task.origin.hall != "north";
+        other(a).cmp(&other(b)).then(compare(a, b, shares))
+    };
+    assert!(!halls_get_equal_shares(prefers_own));
+    assert!(!halls_get_equal_shares(by_class().order));
+});
+
+case!(a_queue_that_floods_takes_nothing_from_others, {
+    let flood = Load {
+        queue: "flood",
+        ..middle(3.0)
+    };
+    let loads = [middle(0.3), flood];
+    assert!(on_time("middle", &loads, &ways(compare)) >= SERVED);
+    let left = 0.7 * f64::from(SLOTS);
+    assert!(slots("flood", None, &loads, &ways(compare)) > 0.95 * left);
+});
+
+case!(no_slot_is_idle_while_a_task_waits_and_nothing_is_kept, {
+    let loads = [quick(0.3), middle(0.4), long(0.5)];
+    let unbounded = Ways {
+        bounded: false,
+        ..ways(compare)
+    };
+    assert!(plays(&loads, &unbounded).all(|outcome| outcome.idle_slot_ms == 0.0));
+    let alone = [middle(1.2)];
+    assert!(plays(&alone, &ways(compare)).all(|outcome| outcome.idle_slot_ms == 0.0));
+});
+
+const fn task(urgency: u8, estimate_ms: Millis) -> TaskSize {
+    TaskSize {
+        urgency,
+        cpu: 8_000,
+        estimate_ms,
+    }
+}
+
+/// Long tasks that may run on 80 cores some time after urgent ones took 24 of them for 4 s.
+fn long_tasks_after(ms: Millis) -> usize {
+    let mut long = LongTasks::default();
+    for now in (0..4_000).step_by(20) {
+        long.arrived(now, &task(0, 60), 96);
+    }
+    let mut running = Vec::new();
+    while running.len() < 10
+        && long.may_start(4_000 + ms, &task(2, 900), 80_000, running.iter().copied())
+    {
+        running.push(task(2, 900));
+    }
+    running.len()
+}
+
+case!(room_is_kept_for_short_urgent_tasks_while_they_come, {
+    assert!((5..=7).contains(&long_tasks_after(0)));
+});
+
+case!(room_is_given_back_when_they_come_no_more, {
+    assert_eq!(long_tasks_after(15_000), 10);
+});
+
+case!(one_long_task_may_always_run, {
+    let mut long = LongTasks::default();
+    long.arrived(0, &task(0, 60), 96);
+    assert!(long.may_start(0, &task(2, 900), 8_000, [].into_iter()));
+});
+
+/// Compares two tasks of an urgency, class and slack each.
+fn compared(a: (u8, PriorityClass, i64), b: (u8, PriorityClass, i64)) -> Ordering {
+    let (queue, hall) = ("queue".into(), "north".into());
+    let waiting = |(urgency, class, slack_ms)| Waiting {
+        origin: Origin {
+            urgency,
+            queue: &queue,
+            hall: &hall,
+        },
+        class,
+        slack_ms,
+    };
+    compare(&waiting(a), &waiting(b), &Shares::default())
+}
+
+/// Names cases of a task that goes before another.
+macro_rules! goes_before {
+    ($($name:ident: $first:expr, $second:expr;)+) => {
+        $(case!($name, {
+            use PriorityClass::{Begun, Late, OnTime, Worthless};
+            let _ = (Begun, Late, OnTime, Worthless);
+            assert_eq!(compared($first, $second), Ordering::Less);
+            assert_eq!(compared($second, $first), Ordering::Greater);
+        });)+
+    };
+}
+
+goes_before! {
+    what_has_begun_before_the_same_urgency: (1, Begun, 90), (1, OnTime, 5);
+    on_time_before_begun_of_a_less_urgent_queue: (0, OnTime, 90), (1, Begun, 5);
+    on_time_before_a_late_one_of_a_more_urgent_queue: (1, OnTime, 90), (0, Late, 5);
+    late_ones_by_urgency: (0, Late, 90), (1, Late, 5);
+    a_late_one_before_a_worthless_one: (1, Late, 90), (0, Worthless, -5);
+    the_least_slack_of_equals: (1, OnTime, 5), (1, OnTime, 6);
+}
+
+case!(a_job_begins_only_where_all_of_it_can_start_in_time, {
+    let eight_tasks = 8 * 480;
+    assert!(may_begin(eight_tasks, 0, 320_000, 12));
+    assert!(!may_begin(eight_tasks, 0, 320_000, 11));
+    assert!(!may_begin(eight_tasks, 400, 320_000, 12));
+});
