--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -8,8 +8,8 @@
 use crate::Millis;
 
 pub use texts::{
-    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
-    StopReason, StoreReading, TargetBelief,
+    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, Forecast, PeerState,
+    Rejection, StopReason, StoreReading, TargetBelief,
 };
 
 /// A decision, or a change of what the host believes.
@@ -43,6 +43,25 @@
         /// The version of the configuration, 0 for none.
         version: u64,
     },
+    /// A job isn't expected to be on time, or its pool's load isn't known.
+    JobForeseen {
+        /// The job.
+        job: Name,
+        /// Its queue.
+        queue: Name,
+        /// What is expected.
+        forecast: Forecast,
+        /// How long it would wait, in ms, if that is known.
+        wait_ms: Option<Millis>,
+        /// Thousandths of a core that are known to be free in its pool.
+        free_cpu: u64,
+        /// Thousandths of a core that are known of in its pool.
+        known_cpu: u64,
+        /// The age of that knowledge, in ms, if there is any.
+        age_ms: Option<Millis>,
+        /// When its caller may come back, in ms, if it is refused.
+        retry_after_ms: Option<Millis>,
+    },
     /// A job ended.
     JobEnded {
         /// The job.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -68,6 +68,22 @@
         BadJob = "bad job",
         /// The host stops before the job's objective.
         Stopping = "stopping",
+        /// No target will have room in time; see `rules::arrival`.
+        NoRoomInTime = "no room in time",
+    }
+}
+
+named! {
+    /// What a host expects of a job on its arrival; see `rules::arrival`.
+    Forecast {
+        /// It can be on time.
+        OnTime = "on time",
+        /// It will be late, and takes no room from jobs on time.
+        Late = "late",
+        /// Too little is known of the pool's load; the job is taken.
+        Unknown = "unknown",
+        /// It can't be served in time; the job is refused.
+        Refused = "refused",
     }
 }
 
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! | question | rule |
 //! |---|---|
-//! | Why was this request rejected at once? | [`admission`] |
+//! | Why was this request rejected at once? | [`admission`], [`arrival`] |
 //! | Which waiting task goes first? | [`priority`], [`waiting_order`] |
 //! | Which queue or hall is due, and what may long tasks hold? | [`shares`], [`long_tasks`] |
 //! | Why this target? | [`target_choice`] |
@@ -28,6 +28,7 @@
 //! runs behind them are named in `docs/`.
 
 pub mod admission;
+pub mod arrival;
 pub mod assignment;
 pub mod congestion;
 pub mod contention;
