Give jobs up by urgency, and refuse on arrival what can't be served in time

With scheduling.order shares: a job is passed over only by jobs of the same or a more urgent queue, and neither passed over nor refused for want of room while a target that could run it is known to have some, here or at a peer heard within a heartbeat. A new job asks rules/arrival.rs; no host tells its load yet, so each is taken as 'unknown', which the log says (job-foreseen) and a counter counts (jobs_foreseen).

With class, the default, all stays as it was: peers and targets are looked at for room only with shares.

--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -43,6 +43,8 @@
         NoResources = "no-room",
         /// It was going to be late, and jobs waited that could still be on time.
         PassedOver = "passed over",
+        /// On its arrival no target was expected to have room in time; see `rules::arrival`.
+        RefusedOnArrival = "refused on arrival",
         /// No known target could ever run one of its tasks.
         TooLarge = "too-large",
         /// Only targets in draining halls could run one of its tasks.
@@ -68,8 +70,6 @@
         BadJob = "bad job",
         /// The host stops before the job's objective.
         Stopping = "stopping",
-        /// No target will have room in time; see `rules::arrival`.
-        NoRoomInTime = "no room in time",
     }
 }
 
--- a/crates/dispatcher-core/src/dispatcher/caller_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/caller_requests.rs
@@ -1,19 +1,25 @@
 //! What callers ask of a host: submits, queries, cancels.
 //!
 //! Rejects what [`crate::rules::admission`] rejects, and hands the rest to
-//! [`crate::jobs`], which answers later.
+//! [`crate::jobs`], which answers later. Where tasks wait by urgency and shares, a job that
+//! can't be served in time is refused at once, by [`crate::rules::arrival`].
 
 use gannetridge_wire::Name;
 
 use crate::action::{Action, Answer};
-use crate::decision::{Decision, EndCause, Rejection};
+use crate::configuration::Queue;
+use crate::decision::{Decision, EndCause, Forecast, Rejection};
 use crate::event::{RequestId, Submit};
 use crate::jobs::Checked;
+use crate::message::PoolLoad;
 use crate::rules::admission::{self, Addressed, Rejected};
+use crate::rules::arrival::{self, Arrival, PoolKnowledge};
 use crate::rules::giving_up::refused_when_stopping;
+use crate::settings::WaitingOrder;
 use crate::targets::Runnable;
 use crate::Millis;
 
+use super::placement::has_room;
 use super::Dispatcher;
 
 impl Dispatcher {
@@ -37,7 +43,8 @@
             Err(rejected) => return self.reject(request_id, &path, rejected),
         };
         let objective_ms = queue.latency_objective(submit.spec.chain_ms());
-        if self.jobs.state(&id).is_none() && self.stops_before(now, objective_ms) {
+        let is_new = self.jobs.state(&id).is_none();
+        if is_new && self.stops_before(now, objective_ms) {
             let grace_period_ms = self.settings.bounds.grace_period_ms;
             let rejected = Rejected {
                 reason: Rejection::Stopping,
@@ -54,6 +61,54 @@
         };
         self.jobs.submit(now, checked);
         self.end_if_not_runnable(now, &id);
+        if is_new && self.settings.scheduling.order == WaitingOrder::Shares {
+            // No host tells its load yet: each job is taken, and that is logged.
+            self.refuse_on_arrival(now, &id, std::iter::empty());
+        }
+    }
+
+    /// Refuses a job that has just been accepted, if it can't be served in time. `loads` are
+    /// those of all holders of its pool, this host's too, with their age in ms.
+    fn refuse_on_arrival<'a>(
+        &mut self,
+        now: Millis,
+        id: &Name,
+        loads: impl Iterator<Item = (&'a PoolLoad, Millis)>,
+    ) {
+        let Some(queue) = self.jobs.queue(id).cloned() else {
+            return;
+        };
+        let listed_cpu = self.targets.listed_cpu(&queue.pool);
+        let pool = PoolKnowledge::new(loads, listed_cpu, self.times.heartbeat);
+        let mut orders = self.jobs.first_waiting(id).into_iter();
+        let has_room = orders.any(|order| has_room(&self.targets, &self.peers, now, &order));
+        let arrival = arrival::decide(&pool, &self.jobs.arriving(now, id, has_room));
+        self.record_forecast(id, &queue, &pool, &arrival);
+        if let Some(retry_after_ms) = arrival.retry_after_ms {
+            self.jobs.refuse_on_arrival(now, id, retry_after_ms);
+        }
+    }
+
+    fn record_forecast(
+        &mut self,
+        id: &Name,
+        queue: &Queue,
+        pool: &PoolKnowledge,
+        arrival: &Arrival,
+    ) {
+        if arrival.forecast == Forecast::OnTime {
+            return;
+        }
+        self.record(Decision::JobForeseen {
+            job: id.clone(),
+            queue: queue.name.clone(),
+            forecast: arrival.forecast,
+            wait_ms: arrival.wait_ms,
+            free_cpu: pool.free_cpu(),
+            known_cpu: pool.heard_cpu(),
+            age_ms: pool.age_ms(),
+            retry_after_ms: arrival.retry_after_ms,
+        });
     }
 
     /// Ends a job that no known target could ever run, or only targets of draining halls.
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -9,9 +9,10 @@
 
 use crate::jobs::{demand, WaitingTask};
 use crate::message::{Demand, Priority, Request, TaskOrder};
+use crate::peers::Peers;
 use crate::rules::peer_choice::is_advertised;
 use crate::rules::target_choice::NotFound;
-use crate::targets::{Owner, OwnerSession};
+use crate::targets::{Owner, OwnerSession, TargetLeases};
 use crate::Millis;
 
 use super::peer_calls::{Purpose, PEER_RETRY_MS};
@@ -62,6 +63,17 @@
     not_at_peers: NotFound,
 }
 
+/// Returns whether a target that could run an order has room, here or at a peer that was heard
+/// within a heartbeat.
+pub(super) fn has_room(
+    targets: &TargetLeases,
+    peers: &Peers,
+    now: Millis,
+    order: &TaskOrder,
+) -> bool {
+    targets.has_room(now, order) || peers.has_room(now, order)
+}
+
 impl Dispatcher {
     /// Finds targets for the tasks that wait, the first in priority first.
     pub(super) fn schedule(&mut self, now: Millis) {
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -7,8 +7,8 @@
 use gannetridge_wire::Name;
 
 use crate::decision::{Decision, StopReason};
-use crate::jobs::{Place, StopAttempt};
-use crate::message::{AttemptEnd, AttemptId, Heartbeat, HostInfo, Request};
+use crate::jobs::{Place, StopAttempt, Surroundings};
+use crate::message::{AttemptEnd, AttemptId, Heartbeat, HostInfo, Request, TaskOrder};
 use crate::peers::StopRequest;
 use crate::rules::giving_up::is_starting;
 use crate::rules::leases::Times;
@@ -17,6 +17,7 @@
 use crate::Millis;
 
 use super::peer_calls::Purpose;
+use super::placement::has_room;
 use super::Dispatcher;
 
 /// Between ticks while jobs or attempts are under way, in ms: how finely deadlines
@@ -64,8 +65,7 @@
 impl Dispatcher {
     pub(super) fn tick(&mut self, now: Millis) {
         self.timers.next_tick = now + IDLE_TICK_MS;
-        let starting = self.is_starting(now);
-        self.jobs.tick(now, starting);
+        self.tick_jobs(now);
         self.assign(now);
         self.end_where_all_drain(now);
         self.targets.tick(now);
@@ -75,6 +75,18 @@
         self.stop_if_done(now);
     }
 
+    /// Does what is due for jobs.
+    fn tick_jobs(&mut self, now: Millis) {
+        let starting = self.is_starting(now);
+        let (targets, peers) = (&self.targets, &self.peers);
+        let surroundings = Surroundings {
+            starting,
+            order: self.settings.scheduling.order,
+            has_room: |order: &TaskOrder| has_room(targets, peers, now, order),
+        };
+        self.jobs.tick(now, &surroundings);
+    }
+
     /// Returns whether this host has just started and hadn't held any target by the last
     /// tick: jobs that waited for the first ones are placed before any is given up.
     fn is_starting(&mut self, now: Millis) -> bool {
--- a/crates/dispatcher-core/src/jobs/ending.rs
+++ b/crates/dispatcher-core/src/jobs/ending.rs
@@ -11,28 +11,46 @@
 use crate::action::{Action, Answer};
 use crate::decision::{Decision, EndCause};
 use crate::event::RequestId;
-use crate::rules::giving_up;
+use crate::message::TaskOrder;
+use crate::rules::giving_up::{self, OpenJob};
 use crate::rules::retry::REMEMBERED_MS;
+use crate::settings::WaitingOrder;
 use crate::Millis;
 
 use super::job::{attempt_id, Job, TaskState};
 use super::{Jobs, Remembered, StopAttempt, MAX_REMEMBERED};
 
+/// What decides about waiting jobs besides themselves.
+pub struct Surroundings<F> {
+    /// Whether this host has just started.
+    pub starting: bool,
+    /// What decides first between waiting tasks.
+    pub order: WaitingOrder,
+    /// Returns whether a target that could run an order is known to have room.
+    pub has_room: F,
+}
+
 impl Jobs {
-    /// Does what is due; `starting` tells whether this host has just started.
-    pub fn tick(&mut self, now: Millis, starting: bool) {
+    /// Does what is due.
+    pub fn tick(&mut self, now: Millis, around: &Surroundings<impl Fn(&TaskOrder) -> bool>) {
         self.answers.retain(|_, answer| answer.until > now);
         self.next_attempts.retain(|_, next| next.until > now);
         let due = self.jobs.iter().filter(|(_, job)| job.next_due <= now);
         let due: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
-        let on_time_waits = self.on_time_waits();
+        let on_time = self.on_time_urgency();
         for id in due {
-            self.do_due(now, &id, on_time_waits, starting);
+            self.do_due(now, &id, on_time, around);
         }
     }
 
     /// Does what is due for one job.
-    fn do_due(&mut self, now: Millis, id: &Name, on_time_waits: bool, starting: bool) {
+    fn do_due(
+        &mut self,
+        now: Millis,
+        id: &Name,
+        on_time: Option<u8>,
+        around: &Surroundings<impl Fn(&TaskOrder) -> bool>,
+    ) {
         let job = self.jobs.get_mut(id).expect("the job was found");
         for task in &mut job.tasks {
             if matches!(task.state, TaskState::Lost(until) if until <= now) {
@@ -40,14 +58,37 @@
                 task.state = TaskState::Waiting;
             }
         }
-        let open = job.open(on_time_waits, starting);
-        if let Some(cause) = giving_up::due(now, &open, job.open_estimates()) {
+        if let Some(cause) = self.end_due(now, id, on_time, around) {
             return self.end(now, id, cause);
         }
+        let job = self.jobs.get_mut(id).expect("the job was found");
         job.next_due = job.earliest_due();
         self.update_ready(now, id);
     }
 
+    /// Returns why a job is to be given up now, if it is.
+    fn end_due(
+        &self,
+        now: Millis,
+        id: &Name,
+        on_time: Option<u8>,
+        around: &Surroundings<impl Fn(&TaskOrder) -> bool>,
+    ) -> Option<EndCause> {
+        let job = &self.jobs[id];
+        let urgency = job.queue.urgency;
+        let passed_over =
+            job.is_late() && giving_up::is_passed_over(around.order, urgency, on_time);
+        let open = job.open(passed_over, around.starting);
+        let cause = giving_up::due(now, &open, job.open_estimates())?;
+        // Room is looked for last, and only where it matters: it costs a look at all targets.
+        if around.order == WaitingOrder::Class || !giving_up::says_no_room(cause) {
+            return Some(cause);
+        }
+        let has_room = self.first_waiting(id).iter().any(&around.has_room);
+        let open = OpenJob { has_room, ..open };
+        giving_up::due(now, &open, job.open_estimates())
+    }
+
     /// The caller of a request is gone; its job ends unless others wait.
     pub fn caller_gone(&mut self, now: Millis, request_id: RequestId) {
         let Some(id) = self.by_request.remove(&request_id) else {
@@ -88,15 +129,31 @@
 
     /// Ends a job.
     pub fn end(&mut self, now: Millis, id: &Name, cause: EndCause) {
-        let Some(job) = self.jobs.remove(id) else {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
+        let not_run = !job.may_have_begun() || !self.safeguards.begun_is_not_refused;
+        let answer = giving_up::answer(cause, not_run, job.objective_ms);
+        self.end_with(now, id, cause, answer);
+    }
+
+    /// Refuses a job that has just arrived; its caller may come back.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task of it may have begun: then it can't be said not to have run.
+    pub fn refuse_on_arrival(&mut self, now: Millis, id: &Name, retry_after_ms: Millis) {
+        assert!(!self.jobs[id].may_have_begun());
+        let answer = Answer::Refused { retry_after_ms };
+        self.end_with(now, id, EndCause::RefusedOnArrival, answer);
+    }
+
+    fn end_with(&mut self, now: Millis, id: &Name, cause: EndCause, answer: Answer) {
+        let job = self.jobs.remove(id).expect("the job is known");
         if let Some(ready) = &job.ready {
             self.ready.remove(ready);
         }
         self.stop_attempts(id, &job);
-        let not_run = !job.may_have_begun() || !self.safeguards.begun_is_not_refused;
-        let answer = giving_up::answer(cause, not_run, job.objective_ms);
         for request_id in &job.request_ids {
             self.by_request.remove(request_id);
             self.actions.push(Action::Answer {
--- a/crates/dispatcher-core/src/jobs/job.rs
+++ b/crates/dispatcher-core/src/jobs/job.rs
@@ -135,18 +135,23 @@
         priority(&job, self.spec.steps[step].estimate_ms)
     }
 
-    /// Returns what decides whether the job is given up; `on_time_waits` tells whether
-    /// jobs wait that can still be on time, `starting` whether this host has just started.
-    pub(super) fn open(&self, on_time_waits: bool, starting: bool) -> OpenJob {
+    /// Returns whether it will be late, as its place among those that wait shows.
+    pub(super) fn is_late(&self) -> bool {
         let ready = self.ready.as_ref();
-        let late = ready.is_some_and(|ready| ready.class == PriorityClass::Late);
+        ready.is_some_and(|ready| ready.class == PriorityClass::Late)
+    }
+
+    /// Returns what decides whether the job is given up, as far as no room is known for it;
+    /// `starting` tells whether this host has just started.
+    pub(super) fn open(&self, passed_over: bool, starting: bool) -> OpenJob {
         OpenJob {
             accepted: self.accepted,
             deadline: self.deadline,
             objective_ms: self.objective_ms,
             may_have_begun: self.may_have_begun(),
             runs: self.runs(),
-            passed_over: late && on_time_waits,
+            passed_over,
+            has_room: false,
             starting,
         }
     }
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -21,10 +21,12 @@
 use crate::event::{RequestId, Submit};
 use crate::message::AttemptId;
 use crate::rules::admission::MAX_JOBS;
+use crate::rules::arrival::Arriving;
 use crate::rules::giving_up::refused_when_full;
 use crate::settings::Safeguards;
 use crate::Millis;
 
+pub use ending::Surroundings;
 pub use job::Place;
 use job::{Job, Ready, Task};
 pub use waiting::{demand, WaitingTask};
@@ -117,6 +119,31 @@
             .count()
     }
 
+    /// Returns the queue of a job that is under way.
+    #[must_use]
+    pub fn queue(&self, id: &Name) -> Option<&Queue> {
+        self.jobs.get(id).map(|job| &job.queue)
+    }
+
+    /// Returns what decides on arrival whether a job can be served.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such job.
+    #[must_use]
+    pub fn arriving<'a>(&self, now: Millis, id: &'a Name, has_room: bool) -> Arriving<'a> {
+        let job = &self.jobs[id];
+        Arriving {
+            id,
+            urgency: job.queue.urgency,
+            core_ms: job.spec.core_ms(),
+            chain_ms: job.spec.chain_ms(),
+            objective_ms: job.objective_ms,
+            deadline_ms: job.deadline.saturating_sub(now),
+            has_room,
+        }
+    }
+
     /// Returns a job's state, if it is known.
     #[must_use]
     pub fn state(&self, id: &Name) -> Option<Answer> {
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -36,11 +36,13 @@
         self.ready.is_empty()
     }
 
-    /// Returns whether tasks wait of jobs that haven't begun and can still be on time.
-    pub(super) fn on_time_waits(&self) -> bool {
+    /// Returns the most urgent of the jobs with waiting tasks that haven't begun and can still
+    /// be on time.
+    pub(super) fn on_time_urgency(&self) -> Option<u8> {
         let mut ready = self.ready.iter();
         let first = ready.find(|ready| ready.class != PriorityClass::Begun);
-        first.is_some_and(|ready| ready.class == PriorityClass::OnTime)
+        let on_time = first.filter(|ready| ready.class == PriorityClass::OnTime);
+        on_time.map(|ready| ready.urgency)
     }
 
     /// Returns waiting tasks, the first in priority first, `most` at most.
@@ -137,6 +139,21 @@
         &self.jobs[id].queue.pool
     }
 
+    /// Returns orders for the first task of each step of a job that hasn't begun, where it
+    /// waits for no other step.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such job.
+    #[must_use]
+    pub fn first_waiting(&self, id: &Name) -> Vec<TaskOrder> {
+        let job = &self.jobs[id];
+        let steps = 0..job.spec.steps.len();
+        let firsts = steps.filter_map(|step| job.first_of(step));
+        let waiting = firsts.filter(|index| job.tasks[*index].state == TaskState::Waiting);
+        waiting.map(|index| self.order(id, index)).collect()
+    }
+
     /// Returns orders for the first task of each step of a job.
     #[must_use]
     pub fn first_orders(&self, id: &Name) -> Vec<TaskOrder> {
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -29,6 +29,16 @@
         open.any(|peer| peer.may_fit(resources))
     }
 
+    /// Returns whether a peer that was heard within a heartbeat had the resources for an order.
+    #[must_use]
+    pub fn has_room(&self, now: Millis, order: &TaskOrder) -> bool {
+        let peers = self.peers.values();
+        let mut heard = peers.filter(|peer| {
+            peer.takes_tasks(now) && now <= peer.free_heard + peer.intervals.heartbeat
+        });
+        heard.any(|peer| peer.has_resources(order))
+    }
+
     /// Chooses a peer that is believed to have the resources for an order, and
     /// takes them off that belief; see [`crate::rules::peer_choice`].
     ///
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -9,6 +9,11 @@
 //!   something;
 //! - at once when a task of it became worthless.
 //!
+//! Where tasks wait by urgency and shares ([`super::waiting_order`]), a job is passed over only
+//! by jobs of its own or a more urgent queue, and none is refused for want of room while a
+//! target that could run it is known to have some: it ends at its deadline, or when its answer
+//! became worthless.
+//!
 //! At a host that has just started and holds no target yet, only the last of these holds,
 //! and a job is refused that can't end by its deadline even so:
 //! waiting there tells nothing of how full the targets are, and after a loss of power most
@@ -36,6 +41,7 @@
 use crate::action::Answer;
 use crate::decision::EndCause;
 use crate::rules::priority::worth_ms;
+use crate::settings::WaitingOrder;
 use crate::Millis;
 
 /// A job of which nothing has begun in this part of its time is refused. With 0.2 the
@@ -64,8 +70,10 @@
     pub may_have_begun: bool,
     /// Whether an attempt of it runs, or a peer was asked to start one.
     pub runs: bool,
-    /// Whether it will be late, and jobs wait that can still be on time.
+    /// Whether it is passed over; see [`is_passed_over`].
     pub passed_over: bool,
+    /// Whether a target that could run a task of it is known to have room.
+    pub has_room: bool,
     /// Whether this host has just started and holds no target yet; see [`is_starting`].
     pub starting: bool,
 }
@@ -87,10 +95,13 @@
         };
         let worthless = open_estimates.any(too_late);
         let waited_enough = now >= latest_begin(job, worth_until);
-        if worthless || (waited_enough && !job.starting) {
+        if worthless && job.has_room {
+            return Some(EndCause::Deadline);
+        }
+        if worthless || (waited_enough && !job.starting && !job.has_room) {
             return Some(EndCause::NoResources);
         }
-        let passed_over = job.passed_over && !job.starting;
+        let passed_over = job.passed_over && !job.starting && !job.has_room;
         return passed_over.then_some(EndCause::PassedOver);
     }
     if now >= job.deadline {
@@ -103,6 +114,22 @@
     (cannot_end && !job.runs).then_some(EndCause::Deadline)
 }
 
+/// Returns whether a job that will be late is passed over, given the most urgent of the jobs
+/// that wait and can still be on time.
+#[must_use]
+pub fn is_passed_over(order: WaitingOrder, urgency: u8, on_time: Option<u8>) -> bool {
+    match order {
+        WaitingOrder::Class => on_time.is_some(),
+        WaitingOrder::Shares => on_time.is_some_and(|first| first <= urgency),
+    }
+}
+
+/// Returns whether the end of a job says that there was no room for it.
+#[must_use]
+pub fn says_no_room(cause: EndCause) -> bool {
+    matches!(cause, EndCause::NoResources | EndCause::PassedOver)
+}
+
 /// Returns whether a host has just started: `age_ms` since then, and `holds_targets` tells
 /// whether it has held any.
 #[must_use]
@@ -135,6 +162,7 @@
         | EndCause::Deadline
         | EndCause::NoResources
         | EndCause::PassedOver
+        | EndCause::RefusedOnArrival
         | EndCause::TooLarge
         | EndCause::CallerGone
         | EndCause::Stopping => {
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -142,6 +142,16 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the processor time that all tasks take, by estimates, in core-ms.
+    #[must_use]
+    pub fn core_ms(&self) -> u64 {
+        let steps = self.steps.iter();
+        let work = steps.map(|step| {
+            u64::from(step.count) * u64::from(step.resources.cpu) * step.estimate_ms / 1_000
+        });
+        work.sum()
+    }
+
     /// Checks what doesn't depend on targets.
     ///
     /// # Errors
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -60,6 +60,25 @@
         leased.any(|target| target.free().fits(resources) && self.is_usable(now, target))
     }
 
+    /// Returns whether a target of this host has the resources for an order free.
+    #[must_use]
+    pub fn has_room(&self, now: Millis, order: &TaskOrder) -> bool {
+        let mut leased = self.leased_targets();
+        leased.any(|target| {
+            target_choice::suits(&target.entry, order)
+                && target.free().fits(&order.resources)
+                && self.is_usable(now, target)
+        })
+    }
+
+    /// Returns the thousandths of a core that a pool's targets have, all hosts' together.
+    #[must_use]
+    pub fn listed_cpu(&self, pool: &Name) -> u64 {
+        let targets = self.targets.values().map(|target| &target.entry);
+        let listed = targets.filter(|entry| entry.pool == *pool && !self.is_draining(&entry.hall));
+        listed.map(|entry| u64::from(entry.capacity.cpu)).sum()
+    }
+
     /// Returns where an order could be run, once there are the resources.
     #[must_use]
     pub fn runnable(&self, order: &TaskOrder) -> Runnable {
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -28,6 +28,19 @@
             reason,
             version,
         } => info!(event = "job-rejected", %path, reason = reason.as_str(), version),
+        Decision::JobForeseen {
+            job,
+            queue,
+            forecast,
+            wait_ms,
+            free_cpu,
+            known_cpu,
+            age_ms,
+            retry_after_ms,
+        } => {
+            let forecast = forecast.as_str();
+            info!(event = "job-foreseen", %job, %queue, forecast, wait_ms, free_cpu, known_cpu, age_ms, retry_after_ms);
+        }
         Decision::JobEnded {
             job,
             queue,
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -25,6 +25,7 @@
 pub struct Metrics {
     jobs: Counter<u64>,
     rejected: Counter<u64>,
+    foreseen: Counter<u64>,
     faulty_rows: Counter<u64>,
     starts: Counter<u64>,
     ends: Counter<u64>,
@@ -68,6 +69,10 @@
         let metrics = Self {
             jobs: counter("jobs_ended", "Jobs that ended, by queue and cause"),
             rejected: counter("jobs_rejected", "Jobs that weren't taken, by reason"),
+            foreseen: counter(
+                "jobs_foreseen",
+                "Jobs not expected to be on time when they came, by queue and forecast",
+            ),
             faulty_rows: counter(
                 "faulty_rows",
                 "Rows of the store that can't be used, by reason",
@@ -111,6 +116,13 @@
                 objective_ms,
                 ..
             } => self.job_ended(queue, *cause, *took_ms, *objective_ms),
+            Decision::JobForeseen {
+                queue, forecast, ..
+            } => {
+                let queue = KeyValue::new("queue", queue.to_string());
+                let forecast = KeyValue::new("forecast", forecast.as_str());
+                self.foreseen.add(1, &[queue, forecast]);
+            }
             Decision::JobRejected { reason, .. } => {
                 let reason = KeyValue::new("reason", reason.as_str());
                 self.rejected.add(1, &[reason]);
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -8,12 +8,12 @@
 use gannetridge_dispatcher::metrics::Metrics;
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
-    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
-    StopReason, StoreReading, TargetBelief,
+    BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, Forecast, PeerState,
+    Rejection, StopReason, StoreReading, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
-use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Safeguards, Settings};
+use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Millis, Safeguards, Settings};
 use serde_json::Value;
 
 /// Collects what is written to the log.
@@ -50,6 +50,19 @@
     }
 }
 
+fn job_foreseen(forecast: Forecast, known_ms: Option<Millis>) -> Decision {
+    Decision::JobForeseen {
+        job: "0123456789abcdef".into(),
+        queue: "queue-1".into(),
+        forecast,
+        wait_ms: known_ms,
+        free_cpu: 700,
+        known_cpu: 64_000,
+        age_ms: known_ms.map(|_| 40),
+        retry_after_ms: known_ms.map(|ms| ms + 300),
+    }
+}
+
 fn attempt_ended(outcome: AttemptOutcome) -> Decision {
     Decision::AttemptEnded {
         id: key(),
@@ -77,6 +90,8 @@
             reason: Rejection::Stopping,
             version: 12,
         },
+        job_foreseen(Forecast::Refused, Some(1_200)),
+        job_foreseen(Forecast::Unknown, None),
         Decision::TasksHandedOver {
             peer: "host-b".into(),
             first: key(),
@@ -235,6 +250,7 @@
 fn reasons_and_states_keep_their_texts() {
     let text = texts!(
         EndCause,
+        Forecast,
         Rejection,
         StopReason,
         EndEvidence,
--- a/crates/lab/src/account/outcome.rs
+++ b/crates/lab/src/account/outcome.rs
@@ -37,6 +37,8 @@
     LastTasksWaited,
     /// Jobs that could be on time went before it.
     PassedOver,
+    /// No room in time was expected when it came.
+    RefusedOnArrival,
     /// An attempt failed, was lost or could not begin, and ran again.
     RanAgain,
     /// A target was slow.
@@ -61,6 +63,7 @@
             Self::Waited => "waited for resources",
             Self::LastTasksWaited => "last tasks waited",
             Self::PassedOver => "passed over",
+            Self::RefusedOnArrival => "refused on arrival",
             Self::RanAgain => "a task ran again",
             Self::SlowTarget => "slow target",
             Self::TargetLost => "target hung or lost",
@@ -85,6 +88,7 @@
     let begun = !job.attempts.is_empty() || job.handed_over;
     match end.cause.as_str() {
         "passed over" => Outcome::Refused(Reason::PassedOver),
+        "refused on arrival" => Outcome::Refused(Reason::RefusedOnArrival),
         "stopping" => Outcome::Unfinished(Reason::HostStopping),
         "caller-gone" | "cancelled" => Outcome::Unfinished(Reason::CallerGone),
         _ if begun => Outcome::Unfinished(unfinished(job)),
