--- a/crates/dispatcher-core/src/backlog.rs
+++ b/crates/dispatcher-core/src/backlog.rs
@@ -9,6 +9,7 @@
 use crate::message::{AttemptId, HandedTask, Priority, PriorityClass};
 use crate::rules::backlog::MOST_HANDED;
 use crate::rules::peer_choice::aged;
+use crate::rules::shares::Origin;
 use crate::targets::{Owner, OwnerSession};
 use crate::Millis;
 
@@ -26,6 +27,16 @@
 }
 
 impl Handed {
+    /// Returns for whom it runs.
+    #[must_use]
+    pub fn origin(&self) -> Origin<'_> {
+        Origin {
+            urgency: self.task.priority.urgency,
+            queue: &self.task.queue,
+            hall: &self.hall,
+        }
+    }
+
     /// Returns its priority by now.
     #[must_use]
     pub fn priority(&self, now: Millis) -> Priority {
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -43,6 +43,8 @@
         NoResources = "no-room",
         /// It was going to be late, and jobs waited that could still be on time.
         PassedOver = "passed over",
+        /// On its arrival no target was expected to have room in time; see `rules::arrival`.
+        RefusedOnArrival = "refused on arrival",
         /// No known target could ever run one of its tasks.
         TooLarge = "too-large",
         /// Only targets in draining halls could run one of its tasks.
@@ -71,6 +73,20 @@
     }
 }
 
+named! {
+    /// What a host expects of a job on its arrival; see `rules::arrival`.
+    Forecast {
+        /// It can be on time.
+        OnTime = "on time",
+        /// It will be late, and takes no room from jobs on time.
+        Late = "late",
+        /// Too little is known of the pool's load; the job is taken.
+        Unknown = "unknown",
+        /// It can't be served in time; the job is refused.
+        Refused = "refused",
+    }
+}
+
 named! {
     /// Why a running attempt is stopped.
     StopReason {
--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -17,7 +17,11 @@
     Reply, ReplyBody, Request, TaskOrder, WaitingWork,
 };
 use crate::rules::backlog::{keeps, patience_ms, ROOM_TOLD_MS};
+use crate::rules::hall_load::expected_wait_ms;
+use crate::rules::shares::Origin;
 use crate::rules::target_choice::NotFound;
+use crate::rules::waiting_order::{compare, Waiting};
+use crate::settings::WaitingOrder;
 use crate::spec::Resources;
 use crate::targets::{Owner, OwnerSession, Reach};
 use crate::Millis;
@@ -35,6 +39,8 @@
     pub(super) batches: BTreeMap<Name, Vec<(WaitingTask, TaskOrder)>>,
     /// Whether tasks may be started on this host's targets.
     starts_here: bool,
+    /// What this host's targets have to do when the pass begins.
+    own_loads: Vec<PoolLoad>,
     not_here: NotFound,
     not_at_peers: NotFound,
 }
@@ -49,6 +55,14 @@
         self.starts_here && self.not_here.may_find(needed, ask)
     }
 
+    /// Returns how long a task that waits here is expected to wait, in ms, if this host has
+    /// targets for it.
+    pub(super) fn own_wait(&self, order: &TaskOrder, urgency: u8) -> Option<Millis> {
+        let mut loads = self.own_loads.iter();
+        let load = loads.find(|load| load.pool == order.pool)?;
+        expected_wait_ms(&load.waiting, u64::from(load.capacity_cpu), urgency, 0)
+    }
+
     /// Returns whether a peer may take a task that needs so much.
     pub(super) fn may_hand_over(
         &mut self,
@@ -74,17 +88,39 @@
             Self::Handed(priority, _) => priority,
         }
     }
+
+    /// Returns for whom it runs.
+    fn origin<'a>(&'a self, own_hall: &'a Name) -> Origin<'a> {
+        match self {
+            Self::Own(task) => task.origin(own_hall),
+            Self::Handed(_, handed) => handed.origin(),
+        }
+    }
+
+    /// Returns what decides its place.
+    fn as_waiting<'a>(&'a self, own_hall: &'a Name) -> Waiting<'a> {
+        let priority = self.priority();
+        Waiting {
+            origin: self.origin(own_hall),
+            class: priority.class,
+            slack_ms: priority.slack_ms,
+        }
+    }
 }
 
 impl Dispatcher {
     /// Starts what waits here, the first in priority first, whosever it is, and hands over
     /// what finds a target sooner elsewhere.
     pub(super) fn schedule_with_backlog(&mut self, now: Millis) {
+        let waiting = self.waiting_here(now);
         let mut pass = Pass {
             starts_here: self.starts_here(now),
             ..Pass::default()
         };
-        for next in self.waiting_here(now) {
+        if waiting.iter().any(|next| matches!(next, Next::Own(_))) {
+            pass.own_loads = self.pool_loads(now);
+        }
+        for next in waiting {
             match next {
                 Next::Own(task) => self.place_own(now, &mut pass, task),
                 Next::Handed(_, handed) => self.place_handed(now, &mut pass, &handed),
@@ -98,19 +134,37 @@
     }
 
     /// Returns the tasks that wait here in the order in which they are looked at.
-    fn waiting_here(&self, now: Millis) -> Vec<Next> {
+    fn waiting_here(&mut self, now: Millis) -> Vec<Next> {
         let own = self.jobs.waiting(now, MAX_SCHEDULED);
         let own = own.into_iter().map(Next::Own);
         let handed = self.backlog.iter();
         let handed = handed.map(|handed| Next::Handed(handed.priority(now), handed.clone()));
         let mut waiting: Vec<Next> = own.chain(handed).collect();
-        waiting.sort_by(|a, b| {
-            let order = a.priority().partial_cmp(b.priority());
-            order.unwrap_or(Ordering::Equal)
-        });
+        match self.settings.scheduling.order {
+            WaitingOrder::Class => waiting.sort_by(|a, b| {
+                let order = a.priority().partial_cmp(b.priority());
+                order.unwrap_or(Ordering::Equal)
+            }),
+            WaitingOrder::Shares => {
+                let own_hall = &self.own.hall;
+                let origins = waiting.iter().map(|next| next.origin(own_hall));
+                self.shares.advance(now, origins);
+                let shares = &self.shares;
+                waiting.sort_by(|a, b| {
+                    compare(&a.as_waiting(own_hall), &b.as_waiting(own_hall), shares)
+                });
+            }
+        }
         waiting
     }
 
+    /// Counts a task that was started here for the shares of its queue and hall.
+    pub(super) fn count_start(&mut self, now: Millis, origin: &Origin<'_>, order: &TaskOrder) {
+        if self.settings.scheduling.order == WaitingOrder::Shares {
+            self.shares.started(now, origin, order.core_ms());
+        }
+    }
+
     /// Starts a task of a peer that waits here, if a target has room.
     fn place_handed(&mut self, now: Millis, pass: &mut Pass, handed: &Handed) {
         let needed = handed.task.order.resources;
@@ -131,7 +185,11 @@
             } else {
                 Reach::Anywhere
             };
-        self.targets.start(now, &handed.owner, order, reach)
+        let started = self.targets.start(now, &handed.owner, order, reach);
+        if started {
+            self.count_start(now, &handed.origin(), order);
+        }
+        started
     }
 
     /// Starts those of a peer's tasks for which there is a target, and keeps those for which
@@ -205,7 +263,7 @@
     }
 
     /// Returns what this host's targets have to do, by pool.
-    fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
+    pub(super) fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
         let mut loads = Vec::new();
         for room in self.targets.pool_rooms(now) {
             let mut load = PoolLoad {
--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -36,7 +36,7 @@
         if here && self.start_own(now, &task, &order, Reach::Near) {
             return;
         }
-        let own = self.own_view(now, &task, &order, here);
+        let own = self.own_view(now, pass, &task, &order, here);
         let far_slowdown = self.settings.far_slowdown;
         let view = TaskView {
             name: &order.id.task,
@@ -79,6 +79,8 @@
     ) -> bool {
         let started = self.targets.start(now, &self.as_owner(), order, reach);
         if started {
+            let own_hall = self.own.hall.clone();
+            self.count_start(now, &task.origin(&own_hall), order);
             self.jobs.started_here(now, &task.job, task.index);
         }
         started
@@ -88,27 +90,28 @@
     fn own_view(
         &self,
         now: Millis,
+        pass: &Pass,
         task: &WaitingTask,
         order: &TaskOrder,
         may_fit: bool,
     ) -> HolderView {
         let patient = task.age_ms < patience_ms(order.estimate_ms, self.settings.far_slowdown);
         let waits_near =
-            patient && order.rack.is_some() && self.targets.could_run_here(now, order, true);
+            (patient || order.rack.is_none()) && self.targets.could_run_here(now, order, true);
+        let near = match pass.own_wait(order, task.priority.urgency) {
+            Some(expected_ms) if waits_near => Place::Wait {
+                spare_cpu: order.resources.cpu,
+                expected_ms,
+            },
+            Some(_) | None => Place::None,
+        };
         HolderView {
             other_hall: false,
             way_ms: 0,
             extra_request: false,
             stale_clock: false,
-            near: if waits_near {
-                Place::Wait {
-                    spare_cpu: order.resources.cpu,
-                    expected_ms: 0,
-                }
-            } else {
-                Place::None
-            },
-            far: if may_fit {
+            near,
+            far: if may_fit && order.rack.is_some() {
                 Place::Free {
                     spare_cpu: order.resources.cpu,
                 }
@@ -142,7 +145,7 @@
             .into_iter()
             .map(|(task, order)| HandedTask {
                 order,
-                queue: self.jobs.queue(&task.job).clone(),
+                queue: task.queue,
                 priority: task.priority,
                 latest_begin,
             })
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -31,6 +31,7 @@
 use crate::rules::congestion::OwnDelay;
 use crate::rules::draining::DrainingHalls;
 use crate::rules::leases::Times;
+use crate::rules::shares::Shares;
 use crate::rules::store_readers::Freshness;
 use crate::settings::{BoundsError, Settings};
 use crate::store_news::StoreNews;
@@ -71,6 +72,7 @@
     targets: TargetLeases,
     peers: Peers,
     backlog: Backlog,
+    shares: Shares,
     store_news: StoreNews,
     draining: DrainingHalls,
     /// How this host learns what the store holds, as last logged.
@@ -103,6 +105,7 @@
             targets: TargetLeases::new(&settings, times),
             peers: Peers::new(own.clone(), &settings.seeds, times),
             backlog: Backlog::default(),
+            shares: Shares::default(),
             draining: DrainingHalls::default(),
             noted_reading: None,
             store_news: StoreNews::new(Freshness::new(settings.bounds.drain_ms)),
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -8,6 +8,7 @@
 use gannetridge_wire::Name;
 
 use crate::message::{Demand, Priority, PriorityClass, SpreadLimit, TaskOrder};
+use crate::rules::shares::Origin;
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -21,6 +22,8 @@
     pub job: Name,
     /// Its position in the job.
     pub index: usize,
+    /// Its queue.
+    pub queue: Name,
     /// Its priority.
     pub priority: Priority,
     /// What it takes.
@@ -33,6 +36,18 @@
     pub may_ask: bool,
 }
 
+impl WaitingTask {
+    /// Returns for whom it runs, where this host is in `own_hall`.
+    #[must_use]
+    pub fn origin<'a>(&'a self, own_hall: &'a Name) -> Origin<'a> {
+        Origin {
+            urgency: self.priority.urgency,
+            queue: &self.queue,
+            hall: own_hall,
+        }
+    }
+}
+
 impl Jobs {
     /// Returns whether no task waits.
     #[must_use]
@@ -40,11 +55,13 @@
         self.ready.is_empty()
     }
 
-    /// Returns whether tasks wait of jobs that haven't begun and can still be on time.
-    pub(super) fn on_time_waits(&self) -> bool {
+    /// Returns the most urgent of the jobs with waiting tasks that haven't begun and can still
+    /// be on time.
+    pub(super) fn on_time_urgency(&self) -> Option<u8> {
         let mut ready = self.ready.iter();
         let first = ready.find(|ready| ready.class != PriorityClass::Begun);
-        first.is_some_and(|ready| ready.class == PriorityClass::OnTime)
+        let on_time = first.filter(|ready| ready.class == PriorityClass::OnTime);
+        on_time.map(|ready| ready.urgency)
     }
 
     /// Returns waiting tasks, the first in priority first, `most` at most.
@@ -63,6 +80,7 @@
                     waiting.push(WaitingTask {
                         job: ready.job.clone(),
                         index,
+                        queue: job.queue.name.clone(),
                         priority,
                         resources: job.spec.steps[task.step].resources,
                         estimate_ms: job.spec.steps[task.step].estimate_ms,
@@ -133,24 +151,29 @@
         }
     }
 
-    /// Returns the queue of a job.
+    /// Returns the pool of a job's targets.
     ///
     /// # Panics
     ///
     /// Panics if there is no such job.
     #[must_use]
-    pub fn queue(&self, id: &Name) -> &Name {
-        &self.jobs[id].queue.name
+    pub fn pool(&self, id: &Name) -> &Name {
+        &self.jobs[id].queue.pool
     }
 
-    /// Returns the pool of a job's targets.
+    /// Returns orders for the first task of each step of a job that hasn't begun, where it
+    /// waits for no other step.
     ///
     /// # Panics
     ///
     /// Panics if there is no such job.
     #[must_use]
-    pub fn pool(&self, id: &Name) -> &Name {
-        &self.jobs[id].queue.pool
+    pub fn first_waiting(&self, id: &Name) -> Vec<TaskOrder> {
+        let job = &self.jobs[id];
+        let steps = 0..job.spec.steps.len();
+        let firsts = steps.filter_map(|step| job.first_of(step));
+        let waiting = firsts.filter(|index| job.tasks[*index].state == TaskState::Waiting);
+        waiting.map(|index| self.order(id, index)).collect()
     }
 
     /// Returns orders for the first task of each step of a job.
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -5,7 +5,7 @@
 use gannetridge_wire::Name;
 
 use super::{Peer, Peers};
-use crate::message::TaskOrder;
+use crate::message::{PoolLoad, TaskOrder};
 use crate::rules::backlog::HANDED_MS;
 use crate::rules::holder_choice::{choose, Begin, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
@@ -56,6 +56,23 @@
         open.any(|peer| peer.may_take(resources))
     }
 
+    /// Returns what living peers' targets have to do, each with the age of the news in ms.
+    pub fn loads(&self, now: Millis) -> impl Iterator<Item = (&PoolLoad, Millis)> {
+        let peers = self.peers.values();
+        let open = peers.filter(move |peer| peer.takes_tasks(now));
+        open.flat_map(move |peer| peer.loads(now))
+    }
+
+    /// Returns whether a peer that was heard within a heartbeat had the resources for an order.
+    #[must_use]
+    pub fn has_room(&self, now: Millis, order: &TaskOrder) -> bool {
+        let peers = self.peers.values();
+        let mut heard = peers.filter(|peer| {
+            peer.takes_tasks(now) && now <= peer.free_heard + peer.intervals.heartbeat
+        });
+        heard.any(|peer| peer.has_resources(order) || peer.has_room(order))
+    }
+
     /// Chooses a peer that is believed to have the resources for an order, and
     /// takes them off that belief; see [`crate::rules::peer_choice`].
     ///
--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -64,6 +64,17 @@
         self.load.pools.clear();
     }
 
+    /// Returns what its targets have to do, with the age of the news in ms.
+    pub(super) fn loads(&self, now: Millis) -> impl Iterator<Item = (&PoolLoad, Millis)> {
+        let age_ms = now.saturating_sub(self.load.heard);
+        self.load.pools.iter().map(move |load| (load, age_ms))
+    }
+
+    /// Returns whether a target of it is believed to have room for an order.
+    pub(super) fn has_room(&self, order: &TaskOrder) -> bool {
+        self.load.room.iter().any(|room| room.fits(order))
+    }
+
     /// Returns whether it is believed to take a task with such needs, now or to wait.
     pub(super) fn may_take(&self, needed: &Resources) -> bool {
         let mut room = self.load.room.iter();
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -7,8 +7,9 @@
 //!
 //! | question | rule |
 //! |---|---|
-//! | Why was this request rejected at once? | [`admission`] |
-//! | Which waiting task goes first? | [`priority`] |
+//! | Why was this request rejected at once? | [`admission`], [`arrival`] |
+//! | Which waiting task goes first? | [`priority`], [`waiting_order`] |
+//! | Which queue or hall is due, and what may long tasks hold? | [`shares`], [`long_tasks`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | At which holder does a task wait, and how long? | [`holder_choice`], [`hall_load`], [`backlog`] |
@@ -28,6 +29,7 @@
 //! runs behind them are named in `docs/`.
 
 pub mod admission;
+pub mod arrival;
 pub mod assignment;
 pub mod backlog;
 pub mod congestion;
@@ -39,11 +41,14 @@
 pub mod holder_choice;
 pub mod leases;
 pub mod liveness;
+pub mod long_tasks;
 pub mod membership;
 pub mod peer_choice;
 pub mod priority;
 pub mod progress;
 pub mod retry;
+pub mod shares;
 pub mod store_readers;
 pub mod target_choice;
 pub mod target_health;
+pub mod waiting_order;
--- /dev/null
+++ b/crates/dispatcher-core/src/rules/waiting_order.rs
@@ -0,0 +1,122 @@
+//! Which waiting task goes first where the tasks of all hosts' callers wait together.
+//!
+//! **Rule.** What can still be on time or has begun goes before what will be late, and what
+//! is worth nothing any more goes last. Then by the urgency of the queue, but an urgency below
+//! its least share goes before more urgent ones. Within an urgency what has begun goes first,
+//! then by who is due ([`super::shares`]: queues, then halls of origin), then by the latest
+//! start that keeps the class. Whether a task's owner is this host or a peer makes no
+//! difference.
+//!
+//! A job is a unit: what has begun goes first within its urgency, and a job counts as late as
+//! soon as the room until its latest start doesn't suffice for it and for what has begun
+//! ([`may_begin`]).
+//!
+//! **Inputs.** Class and slack in ms as [`super::priority`] reckons them, the queue, its
+//! urgency, the hall of origin, shares; for beginnings, work in core-ms and room in
+//! thousandths of a core. **Reason.** A late answer takes as much room as one on time and is
+//! worth less, whatever its queue. Among jobs on time and what has begun the urgency decides
+//! alone: if what has begun went first whatever its queue, or what has least slack, the long
+//! jobs of other queues would pass urgent short ones in an overload. Without the rule for
+//! beginnings jobs that need many targets begin at their latest start one task at a time, and
+//! end late. **Gives up.** A late urgent job isn't served while less urgent ones on time fill
+//! the room. What of a job began out of its share goes on; its queue and hall wait longer for
+//! the next.
+
+use std::cmp::Ordering;
+
+use crate::message::PriorityClass;
+use crate::Millis;
+
+use super::shares::{Due, Origin, Shares};
+
+/// A task that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting<'a> {
+    /// For whom it is to run.
+    pub origin: Origin<'a>,
+    /// Whether its job has begun, can be on time, will be late.
+    pub class: PriorityClass,
+    /// Time in ms from now until the latest start that keeps the class.
+    pub slack_ms: i64,
+}
+
+impl Waiting<'_> {
+    /// Returns whether it has begun or can be on time; shares are reckoned over these.
+    #[must_use]
+    pub fn counts(&self) -> bool {
+        self.class <= PriorityClass::OnTime
+    }
+}
+
+/// What decides first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Worth {
+    /// The job has begun, or its answer can be on time.
+    Whole,
+    /// The answer will be late.
+    Part,
+    None,
+}
+
+impl Worth {
+    fn of(class: PriorityClass) -> Self {
+        match class {
+            PriorityClass::Begun | PriorityClass::OnTime => Self::Whole,
+            PriorityClass::Late => Self::Part,
+            PriorityClass::Worthless => Self::None,
+        }
+    }
+}
+
+/// The place of a waiting task; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Place {
+    worth: Worth,
+    has_least_share: bool,
+    urgency: u8,
+    class: PriorityClass,
+    due: Due,
+    slack_ms: i64,
+}
+
+/// Returns the place of a waiting task.
+#[must_use]
+pub fn place(task: &Waiting<'_>, shares: &Shares) -> Place {
+    let urgency = task.origin.urgency;
+    Place {
+        worth: Worth::of(task.class),
+        has_least_share: !shares.is_below_least(urgency),
+        urgency,
+        class: task.class,
+        due: shares.due(&task.origin),
+        slack_ms: task.slack_ms,
+    }
+}
+
+/// Compares two waiting tasks; the lesser goes first. Sorts by it are to be stable, so that of
+/// equals the one that came first goes first.
+#[must_use]
+pub fn compare(a: &Waiting<'_>, b: &Waiting<'_>, shares: &Shares) -> Ordering {
+    let places = place(a, shares).partial_cmp(&place(b, shares));
+    places.unwrap_or(Ordering::Equal)
+}
+
+/// Returns the position of the task that goes first of those that fit; who is due changes with
+/// each start.
+#[must_use]
+pub fn first<'a>(
+    tasks: impl Iterator<Item = (usize, Waiting<'a>)>,
+    shares: &Shares,
+) -> Option<usize> {
+    let placed = tasks.map(|(position, task)| (position, place(&task, shares)));
+    let first = placed.min_by(|(_, a), (_, b)| a.partial_cmp(b).unwrap_or(Ordering::Equal));
+    first.map(|(position, _)| position)
+}
+
+/// Returns whether a job may begin: `room_cpu` thousandths of a core do its `core_ms` and the
+/// `begun_core_ms` that are left of what has begun within `slack_ms`, until its latest start.
+#[must_use]
+pub fn may_begin(core_ms: u64, begun_core_ms: u64, room_cpu: u32, slack_ms: Millis) -> bool {
+    let room = u64::from(room_cpu) * slack_ms / 1_000;
+    begun_core_ms + core_ms <= room
+}
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use anyhow::bail;
-use gannetridge_dispatcher_core::settings::{Scheduling, WaitingAt};
+use gannetridge_dispatcher_core::settings::{Scheduling, WaitingAt, WaitingOrder};
 use gannetridge_dispatcher_sim::checks::Rule;
 use gannetridge_dispatcher_sim::{run as play, Outcome, Scenario};
 use gannetridge_entry_sim::parallel::map;
@@ -62,6 +62,8 @@
         help = "let tasks wait at the holders of targets, not at their owners"
     )]
     wait_at_holder: bool,
+    #[options(no_short, help = "order waiting tasks by urgency and shares")]
+    shares: bool,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -75,6 +77,11 @@
         } else {
             WaitingAt::Owner
         },
+        order: if options.shares {
+            WaitingOrder::Shares
+        } else {
+            WaitingOrder::Class
+        },
         ..Scheduling::default()
     };
     let outcomes = map(&seeds, |seed| {
