--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -209,7 +209,6 @@
         }
         let hall = peer.info.hall.clone();
         let (mut started, mut waiting) = (Vec::new(), Vec::new());
-        let mut queue = self.queue_cpu(now);
         for (position, task) in tasks.into_iter().enumerate() {
             let handed = Handed {
                 owner: Owner {
@@ -225,7 +224,7 @@
             }
             if self.start_handed(now, &handed) {
                 started.push(position as u32);
-            } else if self.keep(now, handed, &mut queue) {
+            } else if self.keep(now, handed) {
                 waiting.push(position as u32);
             }
         }
@@ -241,27 +240,21 @@
         open && self.targets.may_begin(order)
     }
 
-    /// Lets a task wait if a target is expected to have room for it in time; `queue` tells for
-    /// how much more there will be, by pool.
-    fn keep(&mut self, now: Millis, handed: Handed, queue: &mut BTreeMap<Name, u32>) -> bool {
+    /// Lets a task wait if a target is expected to have room for it in time, beside all that
+    /// waits already.
+    fn keep(&mut self, now: Millis, handed: Handed) -> bool {
         let order = &handed.task.order;
-        let left = queue.entry(order.pool.clone()).or_default();
-        let cpu = order.resources.cpu;
-        let kept =
-            keeps(cpu, *left, self.backlog.len()) && self.targets.could_run_here(now, order, false);
+        let loads = self.pool_loads(now);
+        let pool = loads.iter().find(|load| load.pool == order.pool);
+        let queue_cpu = pool.map_or(0, |load| load.queue_cpu);
+        let kept = keeps(order.resources.cpu, queue_cpu, self.backlog.len())
+            && self.targets.could_run_here(now, order, false);
         if kept {
-            *left -= cpu;
             self.backlog.push(handed);
         }
         kept
     }
 
-    /// Returns for how many thousandths of a core tasks may still be handed over, by pool.
-    fn queue_cpu(&self, now: Millis) -> BTreeMap<Name, u32> {
-        let pools = self.pool_loads(now).into_iter();
-        pools.map(|load| (load.pool, load.queue_cpu)).collect()
-    }
-
     /// Returns what this host's targets have to do, by pool.
     pub(super) fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
         let mut loads = Vec::new();
