Hold that refused callers come back spread over the whole time

The check looked at gaps only, so that callers who all come back at once passed it: found by a mutant without the spread. It now asks for nine tenths of the time between first and last; the mutant fails, the code passes.

--- a/crates/dispatcher-core/tests/arrival.rs
+++ b/crates/dispatcher-core/tests/arrival.rs
@@ -120,6 +120,10 @@
     let mut times: Vec<Millis> = times.collect();
     times.sort_unstable();
     assert!(times[0] >= 710 && times[199] < 1_420, "{times:?}");
+    assert!(
+        times[199] - times[0] > 639,
+        "over nine tenths of it: {times:?}"
+    );
     let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
     assert!(gaps.max() < Some(71), "{times:?}");
 });
