--- a/crates/dispatcher-core/src/rules/holder_choice.rs
+++ b/crates/dispatcher-core/src/rules/holder_choice.rs
@@ -31,7 +31,7 @@
 const EXTRA_REQUEST_MS: f64 = 2.0;
 /// By how much sooner a task has to end in another hall, in ms: halls of equal load would
 /// swap work at each small difference, and pay the way for it.
-const OTHER_HALL_MS: f64 = 5.0;
+const OTHER_HALL_MS: f64 = 16.0;
 /// By which part of its wait another hall's holder counts as later: the longer waits are,
 /// the more they vary between halls of equal load.
 const OTHER_HALL_WAIT_SHARE: f64 = 0.25;
