--- a/crates/dispatcher-core/src/rules/holder_choice.rs
+++ b/crates/dispatcher-core/src/rules/holder_choice.rs
@@ -8,8 +8,8 @@
 //! [`OTHER_HALL_MS`] and a part of its own wait. Of news that are older than
 //! [`FRESH_NEWS_MS`] only a part counts; for the rest the holder is taken for one like
 //! those of which there are fresh news. Among holders whose ends differ by less than their
-//! news may have changed, two are picked by the task's name in proportion to what each may
-//! be handed, and the sooner one is taken. A holder where the task isn't expected to begin in
+//! news may have changed, the task's name picks one, each in proportion to what it may be
+//! handed. A holder where the task isn't expected to begin in
 //! time is left out, by what was last heard there.
 //!
 //! **Inputs.** For each holder what was last heard, less what was handed over since; the
@@ -204,7 +204,7 @@
     }
     let best = *offers.iter().min_by(|a, b| a.end_ms.total_cmp(&b.end_ms))?;
     offers.retain(|offer| best.is_equalled_by(offer));
-    Some(sooner_of_two(task.name, &offers).choice)
+    Some(picked(task.name, &offers).choice)
 }
 
 /// Returns after how long a task that is handed over now can begin at a holder, in ms.
@@ -247,24 +247,12 @@
     end_ms
 }
 
-/// Picks two offers by a task's name, each in proportion to what may be handed over, and
-/// returns the one that ends sooner.
-fn sooner_of_two<'a>(name: &str, offers: &'a [Offer]) -> &'a Offer {
-    let hash = xxh3_64(name.as_bytes());
-    let first = by_share(offers, (hash >> 32) as u32);
-    let second = by_share(offers, hash as u32);
-    if second.end_ms < first.end_ms {
-        second
-    } else {
-        first
-    }
-}
-
-/// Returns the offer into whose share of all that may be handed over a number falls.
-fn by_share(offers: &[Offer], number: u32) -> &Offer {
+/// Picks an offer by a task's name, each in proportion to what may be handed over.
+fn picked<'a>(name: &str, offers: &'a [Offer]) -> &'a Offer {
     let share = |offer: &Offer| u64::from(offer.spare_cpu.max(1));
     let all: u64 = offers.iter().map(share).sum();
-    let mut left = (u64::from(number) * all) >> u32::BITS;
+    let part = xxh3_64(name.as_bytes()) >> u32::BITS;
+    let mut left = (part * all) >> u32::BITS;
     for offer in offers {
         if left < share(offer) {
             return offer;
