Choose a holder whatever numbers peers and settings tell

A slowdown that is no number left no offer equal to the best, and room beyond what a deployment can have overflowed the reckoning of shares.

--- a/crates/dispatcher-core/src/rules/holder_choice.rs
+++ b/crates/dispatcher-core/src/rules/holder_choice.rs
@@ -9,8 +9,8 @@
 //! [`FRESH_NEWS_MS`] only a part counts; for the rest the holder is taken for one like
 //! those of which there are fresh news. Among holders whose ends differ by less than their
 //! news may have changed, the task's name picks one, each in proportion to what it may be
-//! handed. A holder where the task isn't expected to begin in
-//! time is left out, by what was last heard there.
+//! handed. A holder where the task isn't expected to begin in time is left out, by what was
+//! last heard there.
 //!
 //! **Inputs.** For each holder what was last heard, less what was handed over since; the
 //! task's running time on an ordinary target near its data and the time until its latest
@@ -23,8 +23,7 @@
 
 use crate::Millis;
 
-/// Older news count less, in ms: several times the time in which a busy holder is heard
-/// again, and less than tasks may wait.
+/// Older news count less, in ms: a holder that tasks are handed to is heard far more often.
 const FRESH_NEWS_MS: Millis = 500;
 /// A request of its own costs both hosts processor time: one that is sent anyway is
 /// preferred for an end later by this, in ms.
@@ -204,7 +203,7 @@
     }
     let best = *offers.iter().min_by(|a, b| a.end_ms.total_cmp(&b.end_ms))?;
     offers.retain(|offer| best.is_equalled_by(offer));
-    Some(picked(task.name, &offers).choice)
+    Some(picked(task.name, &offers).unwrap_or(&best).choice)
 }
 
 /// Returns after how long a task that is handed over now can begin at a holder, in ms.
@@ -247,17 +246,17 @@
     end_ms
 }
 
-/// Picks an offer by a task's name, each in proportion to what may be handed over.
-fn picked<'a>(name: &str, offers: &'a [Offer]) -> &'a Offer {
+/// Picks an offer by a task's name, each in proportion to what may be handed over; none of
+/// none.
+fn picked<'a>(name: &str, offers: &'a [Offer]) -> Option<&'a Offer> {
     let share = |offer: &Offer| u64::from(offer.spare_cpu.max(1));
     let all: u64 = offers.iter().map(share).sum();
-    let part = xxh3_64(name.as_bytes()) >> u32::BITS;
-    let mut left = (part * all) >> u32::BITS;
-    for offer in offers {
-        if left < share(offer) {
-            return offer;
-        }
-        left -= share(offer);
-    }
-    &offers[offers.len() - 1]
+    let part = u128::from(xxh3_64(name.as_bytes()));
+    let mut left = ((part * u128::from(all)) >> u64::BITS) as u64;
+    let picked = offers.iter().find(|offer| {
+        let found = left < share(offer);
+        left = left.saturating_sub(share(offer));
+        found
+    });
+    picked.or(offers.last())
 }
