--- a/crates/dispatcher-core/tests/holder_choice.rs
+++ b/crates/dispatcher-core/tests/holder_choice.rs
@@ -192,8 +192,8 @@
         _ => 0.55,
     };
     let [rule, _, two, own, _] = weighed(&Load { asked, ..EQUAL }, |tasks| {
-        let spread = |task: &Task| task.hall == 0 && (1_300..2_500).contains(&task.asked_at);
-        let others = |task: &Task| task.hall > 0 && (1_000..2_500).contains(&task.asked_at);
+        let spread = |task: &Task| task.hall() == 0 && (1_300..2_500).contains(&task.asked_at);
+        let others = |task: &Task| task.hall() > 0 && (1_000..2_500).contains(&task.asked_at);
         [spread, others].map(|some| part(tasks, some, Task::is_late))
     });
     assert!(rule[0] < own[0] / 3.0 && rule[0] < two[0]);
@@ -240,8 +240,8 @@
         ..EQUAL
     };
     let [rule, least, ..] = weighed(&load, |tasks| {
-        let at_first = |task: &Task| task.hall == 0 && (1_000..3_500).contains(&task.asked_at);
-        let after = |task: &Task| task.hall == 0 && task.asked_at > 3_600;
+        let at_first = |task: &Task| task.hall() == 0 && (1_000..3_500).contains(&task.asked_at);
+        let after = |task: &Task| task.hall() == 0 && task.asked_at > 3_600;
         [
             part(tasks, at_first, Task::is_elsewhere),
             part(tasks, after, Task::is_late),
