--- a/crates/dispatcher-core/src/rules/holder_choice.rs
+++ b/crates/dispatcher-core/src/rules/holder_choice.rs
@@ -8,9 +8,9 @@
 //! [`OTHER_HALL_MS`] and a part of its own wait. Of news that are older than
 //! [`FRESH_NEWS_MS`] only a part counts; for the rest the holder is taken for one like
 //! those of which there are fresh news. Among holders whose ends differ by less than their
-//! news may have changed, two are picked by the task's name in proportion to what each may
-//! be handed, and the sooner one is taken. A holder where the task isn't expected to begin in
-//! time is left out, by what was last heard there.
+//! news may have changed, the task's name picks one, each in proportion to what it may be
+//! handed. A holder where the task isn't expected to begin in time is left out, by what was
+//! last heard there.
 //!
 //! **Inputs.** For each holder what was last heard, less what was handed over since; the
 //! task's running time on an ordinary target near its data and the time until its latest
@@ -23,15 +23,14 @@
 
 use crate::Millis;
 
-/// Older news count less, in ms: several times the time in which a busy holder is heard
-/// again, and less than tasks may wait.
+/// Older news count less, in ms: a holder that tasks are handed to is heard far more often.
 const FRESH_NEWS_MS: Millis = 500;
 /// A request of its own costs both hosts processor time: one that is sent anyway is
 /// preferred for an end later by this, in ms.
 const EXTRA_REQUEST_MS: f64 = 2.0;
 /// By how much sooner a task has to end in another hall, in ms: halls of equal load would
 /// swap work at each small difference, and pay the way for it.
-const OTHER_HALL_MS: f64 = 5.0;
+const OTHER_HALL_MS: f64 = 16.0;
 /// By which part of its wait another hall's holder counts as later: the longer waits are,
 /// the more they vary between halls of equal load.
 const OTHER_HALL_WAIT_SHARE: f64 = 0.25;
@@ -204,7 +203,7 @@
     }
     let best = *offers.iter().min_by(|a, b| a.end_ms.total_cmp(&b.end_ms))?;
     offers.retain(|offer| best.is_equalled_by(offer));
-    Some(sooner_of_two(task.name, &offers).choice)
+    Some(picked(task.name, &offers).unwrap_or(&best).choice)
 }
 
 /// Returns after how long a task that is handed over now can begin at a holder, in ms.
@@ -247,29 +246,17 @@
     end_ms
 }
 
-/// Picks two offers by a task's name, each in proportion to what may be handed over, and
-/// returns the one that ends sooner.
-fn sooner_of_two<'a>(name: &str, offers: &'a [Offer]) -> &'a Offer {
-    let hash = xxh3_64(name.as_bytes());
-    let first = by_share(offers, (hash >> 32) as u32);
-    let second = by_share(offers, hash as u32);
-    if second.end_ms < first.end_ms {
-        second
-    } else {
-        first
-    }
-}
-
-/// Returns the offer into whose share of all that may be handed over a number falls.
-fn by_share(offers: &[Offer], number: u32) -> &Offer {
+/// Picks an offer by a task's name, each in proportion to what may be handed over; none of
+/// none.
+fn picked<'a>(name: &str, offers: &'a [Offer]) -> Option<&'a Offer> {
     let share = |offer: &Offer| u64::from(offer.spare_cpu.max(1));
     let all: u64 = offers.iter().map(share).sum();
-    let mut left = (u64::from(number) * all) >> u32::BITS;
-    for offer in offers {
-        if left < share(offer) {
-            return offer;
-        }
-        left -= share(offer);
-    }
-    &offers[offers.len() - 1]
+    let part = u128::from(xxh3_64(name.as_bytes()));
+    let mut left = ((part * u128::from(all)) >> u64::BITS) as u64;
+    let picked = offers.iter().find(|offer| {
+        let found = left < share(offer);
+        left = left.saturating_sub(share(offer));
+        found
+    });
+    picked.or(offers.last())
 }
