--- a/crates/dispatcher-core/src/jobs/attempts.rs
+++ b/crates/dispatcher-core/src/jobs/attempts.rs
@@ -96,7 +96,11 @@
         if !task.state.is_running() && !late_success {
             return;
         }
-        job.begun |= end.outcome != AttemptOutcome::NotBegun;
+        let begun = end.outcome != AttemptOutcome::NotBegun;
+        job.begun |= begun;
+        // One that waited at a holder is heard of again only now.
+        let waited = matches!(task.state, TaskState::HandedOver(_));
+        job.starts += u32::from(begun && waited);
         job.next_due = 0;
         let consequence = retry::after(end.outcome, task.failures, max_attempts);
         task.attempt += consequence.advance;
