Reckon by a clock that goes on while the host is suspended

The dispatcher took its time, the ages of what it believes of the store, and the entry host its time from the steady clock, which stands still while a host is suspended: a host that wakes held leases that were over for all others. All of them use crates/clock now. The age of a store's answer is reckoned when the dispatcher takes it, since the host may be suspended while the answer waits.

The core lost peers' leases before the first event already, and doubted calls to targets. Now attempts on expired targets are over before that event too, and replies of peers to calls from before the pause prove nothing of the peer's present (they made it count as heard now, and tasks were handed to it: two tests of tests/suspended.rs failed before). What they say of their request still counts. A stop that came while the process stood still counts from the last look before.

stood-still and suspended are new log lines.

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -131,6 +131,12 @@
         /// Time until they are over for certain.
         over_in_ms: Millis,
     },
+    /// The process stood still: frozen, suspended with its host, or without processor time.
+    /// Leases that expired meanwhile are lost, calls that were open are doubted.
+    StoodStill {
+        /// Time without any event.
+        gap_ms: Millis,
+    },
     /// A hall began or ended to drain, as this host knows it.
     HallDraining {
         /// The hall.
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -165,9 +165,8 @@
     /// Leases are looked at first: what expired while the process stood still is
     /// lost before the event can use it.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
-        self.timers.started.get_or_insert(now);
-        if self.timers.stood_still(now, &self.times) {
-            self.targets.doubt_lives();
+        if let Some(gap_ms) = self.timers.stood_still(now, &self.times) {
+            self.after_pause(now, gap_ms);
         }
         self.expire_leases(now);
         self.take(now, event);
@@ -178,6 +177,14 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Loses what expired while the process stood still, and doubts what was on its way.
+    fn after_pause(&mut self, now: Millis, gap_ms: Millis) {
+        self.record(Decision::StoodStill { gap_ms });
+        self.calls.doubt();
+        self.targets.doubt_lives();
+        self.targets.end_expired(now);
+    }
+
     fn take(&mut self, now: Millis, event: Event) {
         match event {
             Event::Submit { request_id, submit } => self.submit(now, request_id, *submit),
@@ -230,7 +237,7 @@
                 }
             }
             Event::Tick => {}
-            Event::Stop => self.stop(now),
+            Event::Stop { age_ms } => self.stop(now, now.saturating_sub(age_ms)),
         }
     }
 
--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -1,7 +1,9 @@
 //! What a host asks of its peers, and their replies.
 //!
 //! Owns the calls that are on their way. Every reply proves that the peer lives and
-//! brings its clock and its free resources; what else it says depends on the request.
+//! brings its clock and its free resources; what else it says depends on the request. One
+//! that was on its way while this host stood still may be old: it proves nothing of the
+//! peer's present.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -56,6 +58,8 @@
 struct OpenCall {
     callee: Callee,
     sent: Millis,
+    /// Whether this host stood still since: the reply may be old.
+    before_pause: bool,
 }
 
 /// The calls to peers that are on their way.
@@ -71,9 +75,21 @@
     fn begin(&mut self, sent: Millis, callee: Callee) -> CallId {
         self.last += 1;
         let call = CallId(PEER_CALLS | self.last);
-        self.open.insert(call, OpenCall { callee, sent });
+        let open = OpenCall {
+            callee,
+            sent,
+            before_pause: false,
+        };
+        self.open.insert(call, open);
         call
     }
+
+    /// Doubts the replies to all calls that are on their way, since this host stood still.
+    pub(super) fn doubt(&mut self) {
+        for open in self.open.values_mut() {
+            open.before_pause = true;
+        }
+    }
 }
 
 impl Dispatcher {
@@ -149,15 +165,24 @@
         call: CallId,
         reply: Result<Reply, SendFailure>,
     ) {
-        let Some(OpenCall { callee, sent }) = self.calls.open.remove(&call) else {
+        let Some(open) = self.calls.open.remove(&call) else {
             return;
         };
-        if !matches!(reply, Err(SendFailure::Refused | SendFailure::NotSent)) {
+        let OpenCall {
+            callee,
+            sent,
+            before_pause,
+        } = open;
+        let was_sent = !matches!(reply, Err(SendFailure::Refused | SendFailure::NotSent));
+        if was_sent && !before_pause {
             self.own_delay.observe(now, now.saturating_sub(sent));
             self.targets.set_added_wait(self.own_delay.added_to_waits());
         }
         match callee {
             Callee::Seed => self.seed_replied(now, reply),
+            Callee::Peer { name, purpose } if before_pause => {
+                self.use_old_reply(now, call, &name, purpose, reply);
+            }
             Callee::Peer { name, purpose } => {
                 self.hear_reply(now, &name, &purpose, &reply);
                 self.use_reply(now, call, &name, purpose, reply);
@@ -205,6 +230,23 @@
         }
     }
 
+    /// Handles a reply that may be from before this host stood still. What became of the
+    /// request still holds; that the peer lives, what its clock shows and what it has free
+    /// may not. Guards against tasks that are handed to a peer that has gone meanwhile, or has
+    /// given this host's lease up.
+    fn use_old_reply(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        name: &Name,
+        purpose: Purpose,
+        reply: Result<Reply, SendFailure>,
+    ) {
+        if !matches!(purpose, Purpose::Heartbeat) {
+            self.use_reply(now, call, name, purpose, reply);
+        }
+    }
+
     /// Handles what a reply says to its request.
     fn use_reply(
         &mut self,
--- a/crates/dispatcher-core/src/dispatcher/stopping.rs
+++ b/crates/dispatcher-core/src/dispatcher/stopping.rs
@@ -25,14 +25,12 @@
 }
 
 impl Dispatcher {
-    pub(super) fn stop(&mut self, now: Millis) {
+    /// Begins to stop; `since` is the earliest time at which it may have been asked to.
+    pub(super) fn stop(&mut self, now: Millis, since: Millis) {
         if self.stopping.is_some() {
             return;
         }
-        self.stopping = Some(Stopping {
-            since: now,
-            done: false,
-        });
+        self.stopping = Some(Stopping { since, done: false });
         for (_, peer) in self.peers.iter_mut() {
             peer.hurry_heartbeat(now);
         }
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -46,12 +46,15 @@
 }
 
 impl Timers {
-    /// Returns whether the process stood still before this event: no event came for longer than
-    /// half of an owner lease, though timers come far more often. Others may take this host's
-    /// targets after a whole one.
-    pub(super) fn stood_still(&mut self, now: Millis, times: &Times) -> bool {
+    /// Returns how long the process stood still before this event, if it did: no event came for
+    /// longer than half of an owner lease, though timers come far more often. Others may take
+    /// this host's targets after a whole one.
+    pub(super) fn stood_still(&mut self, now: Millis, times: &Times) -> Option<Millis> {
         let before = std::mem::replace(&mut self.last_event, now);
-        now > before + times.owner_lease / 2
+        let gap_ms = now.saturating_sub(before);
+        let began = self.started.is_some();
+        self.started.get_or_insert(now);
+        (began && gap_ms > times.owner_lease / 2).then_some(gap_ms)
     }
 
     /// Makes all timers due.
--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -236,7 +236,10 @@
     /// A timer is due.
     Tick,
     /// The process is asked to stop in order.
-    Stop,
+    Stop {
+        /// How long ago that may have been at most: the grace period counts from there.
+        age_ms: Millis,
+    },
 }
 
 impl Event {
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -18,7 +18,7 @@
 impl TargetLeases {
     /// Ends attempts on targets whose lease expired: nothing of them can run any
     /// more.
-    pub(super) fn end_expired(&mut self, now: Millis) {
+    pub fn end_expired(&mut self, now: Millis) {
         for id in &self.active {
             let target = self.targets.get_mut(id);
             let target = target.expect("active targets are known");
--- a/crates/dispatcher-core/tests/stopping.rs
+++ b/crates/dispatcher-core/tests/stopping.rs
@@ -10,7 +10,7 @@
 
 case!(a_stopping_host_takes_what_it_can_still_end, {
     let mut rig = Rig::holding_targets(&[target("near", 16)]);
-    rig.event(Event::Stop);
+    rig.event(Event::Stop { age_ms: 0 });
     rig.pass(3_000);
     // 2.5 s are left: enough for a short job, not for a long one.
     rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
@@ -25,7 +25,7 @@
     let (call, _, key) = rig.starts().remove(0);
     let clock = rig.now + 500_000;
     rig.target_reply(call, TargetReply::Accepted { clock });
-    rig.event(Event::Stop);
+    rig.event(Event::Stop { age_ms: 0 });
     for _ in 0..25 {
         rig.pass(100);
         for (call, _) in rig.renewals() {
@@ -46,7 +46,7 @@
     rig.submit(1, ID, vec![step(3, 7_000, 300)], 6_000);
     let starts = rig.starts();
     assert_eq!(starts.len(), 2);
-    rig.event(Event::Stop);
+    rig.event(Event::Stop { age_ms: 0 });
     rig.pass(50);
     let ends: Vec<_> = starts
         .iter()
@@ -61,3 +61,27 @@
         "nobody else could start the last task"
     );
 });
+
+case!(a_stop_while_the_host_stood_still_counts_from_then, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.pass(5_000);
+    for (call, _) in rig.renewals() {
+        rig.listing(call, &[], &[]);
+    }
+    rig.submit(1, ID, vec![step(1, 7_000, 900)], 6_000);
+    let (call, _, key) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    // Of 6 s of grace 1 s is left, half of it for the last answers.
+    rig.event(Event::Stop { age_ms: 5_000 });
+    for _ in 0..7 {
+        rig.pass(70);
+        for (call, _) in rig.renewals() {
+            rig.listing(call, std::slice::from_ref(&key), &[]);
+        }
+    }
+    assert!(!rig.stopped, "its job still runs");
+    rig.pass(20);
+    assert!(rig.stopped);
+    assert!(rig.answer_to(1).is_some());
+});
--- /dev/null
+++ b/crates/dispatcher-core/tests/suspended.rs
@@ -0,0 +1,203 @@
+//! A host that stood still for seconds: what it held is lost before anything else is looked
+//! at, also where the first event after it is one that was queued before.
+
+mod support;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gannetridge_clock::Clock;
+use gannetridge_dispatcher_core::message::{
+    EchoedClock, Envelope, HeartbeatReply, ReplyBody, Request,
+};
+use gannetridge_dispatcher_core::{Event, Millis, RequestId, TargetReply};
+use support::{case, order, peer_info, step, target, Rig};
+
+/// Far longer than any lease.
+const GAP_MS: Millis = 3_000;
+/// By how much targets' clocks are ahead of the test's.
+const AHEAD_MS: Millis = 500_000;
+
+/// A host whose clock is the one that processes have, on a system that a test suspends.
+struct Suspended {
+    rig: Rig,
+    clock: Clock,
+    since_boot: Arc<AtomicU64>,
+    steady: Arc<AtomicU64>,
+}
+
+impl Suspended {
+    /// Runs a host on a clock that is made of the system's time since boot and its steady
+    /// clock.
+    fn host(clock: impl Fn(Arc<AtomicU64>, Arc<AtomicU64>) -> Clock) -> Self {
+        let rig = Rig::holding_targets(&[target("near", 16)]);
+        let [since_boot, steady] = [(); 2].map(|()| Arc::new(AtomicU64::new(rig.now)));
+        Self {
+            clock: clock(since_boot.clone(), steady.clone()),
+            rig,
+            since_boot,
+            steady,
+        }
+    }
+
+    /// A peer's task is started; its next one waits while the host is suspended. Returns how
+    /// many tasks run or may run after that.
+    fn attempts_after_suspension(mut self) -> usize {
+        let began = self.rig.now;
+        let first = order("00000000000000aa.0.0.0", 900);
+        self.rig.peer_asks(1, Request::Place(vec![first]));
+        let envelope = queued_place(began);
+        self.since_boot.fetch_add(GAP_MS + 10, Ordering::Relaxed);
+        self.steady.fetch_add(10, Ordering::Relaxed);
+        self.rig.now = began + self.clock.now().as_millis() as Millis;
+        self.rig.event(Event::Peer {
+            request_id: RequestId(2),
+            envelope: Box::new(envelope),
+        });
+        self.rig.host.counts(self.rig.now).attempts
+    }
+}
+
+fn read(clock: Arc<AtomicU64>) -> impl Fn() -> Duration {
+    move || Duration::from_millis(clock.load(Ordering::Relaxed))
+}
+
+/// A peer's request that proves that the peer heard this host at a time.
+fn queued_place(heard: Millis) -> Envelope {
+    Envelope {
+        from: peer_info(),
+        session: 1,
+        echoed_clock: Some(EchoedClock {
+            incarnation: 5,
+            clock: heard,
+        }),
+        clock: 0,
+        request: Request::Place(vec![order("00000000000000bb.0.0.0", 900)]),
+    }
+}
+
+/// A host that knows a peer with free resources, and no target of its own.
+fn with_peer() -> Rig {
+    let mut rig = Rig::new();
+    rig.event(Event::HostsRead(vec![peer_info()]));
+    rig.event(Event::TargetsRead(vec![target("far", 16)].into()));
+    for _ in 0..100 {
+        rig.pass(10);
+        rig.answer_heartbeats(16_000);
+    }
+    rig
+}
+
+fn is_heartbeat(request: &Request) -> bool {
+    matches!(request, Request::Heartbeat(_))
+}
+
+fn is_place(request: &Request) -> bool {
+    matches!(request, Request::Place(_))
+}
+
+case!(an_open_start_is_over_and_nothing_is_started_or_renewed, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.submit(1, "0000000000000001", vec![step(1, 7_000, 300)], 20_000);
+    let (call, _, _) = rig.starts().remove(0);
+    let clock = rig.now + AHEAD_MS;
+    rig.renewals();
+    rig.now += GAP_MS;
+    // The reply came before the host stood still.
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    assert_eq!(rig.host.counts(rig.now).attempts, 0, "its lease is over");
+    assert_eq!(rig.starts(), [], "the target wasn't heard since");
+    let renewals = rig.renewals();
+    assert_eq!(renewals.len(), 1);
+    assert_eq!(renewals[0].1, None, "it asks for news and renews nothing");
+});
+
+case!(a_listing_from_before_renews_nothing, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.submit(1, "0000000000000001", vec![step(1, 7_000, 300)], 20_000);
+    let (call, _, id) = rig.starts().remove(0);
+    let clock = rig.now + AHEAD_MS;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    rig.pass(10);
+    let (call, _) = rig.renewals().remove(0);
+    let reply = TargetReply::Listing {
+        clock: rig.now + AHEAD_MS,
+        running: Vec::new(),
+        ended: Vec::new(),
+        born: None,
+    };
+    rig.now += GAP_MS;
+    rig.target_reply(call, reply);
+    assert_eq!(rig.host.counts(rig.now).attempts, 0, "{id:?} is over");
+    assert_eq!(rig.starts(), []);
+    assert!(rig.renewals().iter().all(|(_, until)| until.is_none()));
+});
+
+case!(a_peers_queued_request_renews_no_lease, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    let first = order("00000000000000aa.0.0.0", 900);
+    rig.peer_asks(1, Request::Place(vec![first.clone()]));
+    let (call, _, _) = rig.starts().remove(0);
+    let clock = rig.now + AHEAD_MS;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    let envelope = queued_place(rig.now);
+    rig.now += GAP_MS;
+    rig.event(Event::Peer {
+        request_id: RequestId(2),
+        envelope: Box::new(envelope),
+    });
+    let reply = rig.replies.iter().find(|(request_id, _)| request_id.0 == 2);
+    assert!(matches!(reply.unwrap().1.body, ReplyBody::Stale));
+    assert_eq!(rig.starts(), []);
+    assert_eq!(rig.host.counts(rig.now).attempts, 0);
+});
+
+case!(a_peers_reply_from_before_does_not_count_as_heard_now, {
+    let mut rig = with_peer();
+    rig.pass(200);
+    let heartbeats = rig.requests(is_heartbeat);
+    let body = ReplyBody::Heartbeat(HeartbeatReply {
+        leaving: false,
+        version: 1,
+        leased: vec!["far".into()],
+        hosts: Vec::new(),
+    });
+    let reply = rig.reply(body, 16_000);
+    rig.now += GAP_MS;
+    let call = heartbeats[0].0;
+    let reply = Ok(reply);
+    rig.event(Event::PeerReply { call, reply });
+    rig.submit(1, "0000000000000001", vec![step(1, 7_000, 300)], 20_000);
+    assert!(rig.requests(is_place).is_empty(), "it may be gone by now");
+    rig.answer_heartbeats(16_000);
+    assert_eq!(rig.requests(is_place).len(), 1, "it was heard since");
+});
+
+case!(what_a_peer_said_to_a_request_before_still_counts, {
+    let mut rig = with_peer();
+    rig.submit(1, "0000000000000001", vec![step(1, 7_000, 900)], 20_000);
+    let (call, _) = rig.requests(is_place).remove(0);
+    // It has not started the task, so that this may be tried elsewhere.
+    let reply = rig.reply(ReplyBody::Placed(Vec::new()), 16_000);
+    rig.now += GAP_MS;
+    let reply = Ok(reply);
+    rig.event(Event::PeerReply { call, reply });
+    assert!(rig.requests(is_place).is_empty());
+    rig.answer_heartbeats(16_000);
+    assert_eq!(rig.requests(is_place).len(), 1);
+});
+
+case!(a_suspended_host_takes_its_leases_for_over, {
+    let host =
+        Suspended::host(|since_boot, steady| Clock::with_sources(read(since_boot), read(steady)));
+    assert_eq!(host.attempts_after_suspension(), 0);
+});
+
+case!(a_host_that_reckons_by_the_steady_clock_is_found, {
+    let host = Suspended::host(|_, steady| {
+        let mutant = read(steady.clone());
+        Clock::with_sources(mutant, read(steady))
+    });
+    assert_ne!(host.attempts_after_suspension(), 0, "nobody missed the gap");
+});
--- a/crates/dispatcher-sim/src/world/faults.rs
+++ b/crates/dispatcher-sim/src/world/faults.rs
@@ -43,7 +43,7 @@
                 "freeze"
             }
             Fault::Stop(host) => {
-                self.tell(host, 0, Event::Stop);
+                self.tell(host, 0, Event::Stop { age_ms: 0 });
                 "stop"
             }
             Fault::CutPeers(host) => {
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -1,17 +1,18 @@
 //! The task that owns the dispatcher: gives it events, and carries its actions out.
 //!
-//! It owns the steady clock, the requests that wait for answers and the counts of
+//! It owns the dispatcher's time, the requests that wait for answers and the counts of
 //! messages. Each call runs in a task of its own, which sends its outcome here. It ends
 //! when the dispatcher has stopped, or all senders are gone.
 
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use gannetridge_clock::Clock;
 use gannetridge_dispatcher_core::message::{Envelope, Reply};
 use gannetridge_dispatcher_core::{
-    Action, Answer, CallId, Dispatcher, Event, Millis, RequestId, SendFailure, StoreTable,
+    Action, Answer, CallId, Decision, Dispatcher, Event, Millis, RequestId, SendFailure, StoreTable,
 };
 use gannetridge_net::Client;
 use local_sync::{mpsc::unbounded, oneshot};
@@ -28,12 +29,15 @@
 use crate::signals::Signals;
 use crate::traffic::{Direction, Traffic};
 
+/// Shorter suspensions aren't logged: both clocks are adjusted now and then.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(10);
+
 /// What the task is made of.
 pub struct Parts {
     /// The decisions.
     pub dispatcher: Dispatcher,
-    /// When the dispatcher's clock was 0.
-    pub started: Instant,
+    /// The dispatcher's clock.
+    pub clock: Clock,
     /// Messages to this task.
     pub rx: unbounded::Rx<Message>,
     /// Sends messages to this task.
@@ -62,6 +66,10 @@
     callers: HashMap<RequestId, oneshot::Sender<Answer>>,
     /// Requests of peers that wait.
     waiting_peers: HashMap<RequestId, oneshot::Sender<Box<Reply>>>,
+    /// How long the host had been suspended when it was last looked at.
+    suspended: Duration,
+    /// When signals were last looked at.
+    looked_at_signals: Duration,
     /// Whether the dispatcher has nothing left to do.
     stopped: bool,
 }
@@ -75,12 +83,14 @@
             parts,
             callers: HashMap::new(),
             waiting_peers: HashMap::new(),
+            suspended: Duration::ZERO,
+            looked_at_signals: Duration::ZERO,
             stopped: false,
         }
     }
 
     fn now(&self) -> Millis {
-        self.parts.started.elapsed().as_millis() as Millis
+        as_millis(self.parts.clock.now())
     }
 
     /// Runs until the dispatcher has stopped, or every sender is gone.
@@ -105,10 +115,12 @@
     }
 
     fn look_at_signals(&mut self) {
+        let now = self.parts.clock.now();
+        // A signal that shows now came after the last look: while the process stood still, or
+        // waited.
+        let since = std::mem::replace(&mut self.looked_at_signals, now);
         if self.parts.signals.take_stop() {
-            info!(event = "stopping");
-            self.parts.stopping.set();
-            self.handle(Event::Stop);
+            self.stop(since, now);
         }
         let now = self.now();
         let asked = self.parts.signals.take_reload();
@@ -117,6 +129,14 @@
         }
     }
 
+    /// Begins to stop, as it was asked to at `since` at the earliest.
+    fn stop(&mut self, since: Duration, now: Duration) {
+        info!(event = "stopping");
+        self.parts.stopping.set();
+        let age_ms = as_millis(now.saturating_sub(since));
+        self.handle(Event::Stop { age_ms });
+    }
+
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Caller {
@@ -149,6 +169,18 @@
                 }
                 self.handle(event);
             }
+            Message::StoreAnswered {
+                table,
+                version,
+                asked,
+            } => {
+                let age_ms = self.now().saturating_sub(as_millis(asked));
+                self.handle(Event::StoreAnswered {
+                    table,
+                    version,
+                    age_ms,
+                });
+            }
             Message::FaultyRows { fault, count } => {
                 self.parts.metrics.faulty_rows(fault, count);
             }
@@ -218,12 +250,26 @@
             }
             Action::Record(decision) => {
                 decision_log::write(&decision);
+                if let Decision::StoodStill { .. } = &decision {
+                    self.look_at_suspension();
+                }
                 self.parts.metrics.record(&decision);
             }
             Action::Stopped => self.stopped = true,
         }
     }
 
+    /// Logs that the host was suspended, if it was since it was last looked at: a process that
+    /// stood still may also have been frozen alone, or had no processor time.
+    fn look_at_suspension(&mut self) {
+        let suspended = self.parts.clock.suspended();
+        let since = suspended.saturating_sub(self.suspended);
+        if since >= LEAST_SUSPENSION {
+            self.suspended = suspended;
+            info!(event = "suspended", gap_ms = as_millis(since));
+        }
+    }
+
     fn call_peer(
         &mut self,
         call: CallId,
@@ -262,3 +308,7 @@
         });
     }
 }
+
+fn as_millis(time: Duration) -> Millis {
+    time.as_millis() as Millis
+}
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -83,6 +83,7 @@
             attempts,
             over_in_ms,
         } => info!(event = "session-lost", %peer, runs = attempts, over_in_ms),
+        Decision::StoodStill { gap_ms } => info!(event = "stood-still", gap_ms),
         Decision::HallDraining {
             hall,
             draining,
--- a/crates/dispatcher/src/mailbox.rs
+++ b/crates/dispatcher/src/mailbox.rs
@@ -2,10 +2,11 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use gannetridge_dispatcher_core::decision::{EntryFault, StoreReading};
 use gannetridge_dispatcher_core::message::{Envelope, Reply};
-use gannetridge_dispatcher_core::{Answer, Dispatcher, Event, RequestId};
+use gannetridge_dispatcher_core::{Answer, Dispatcher, Event, RequestId, StoreTable};
 use local_sync::{mpsc::unbounded, oneshot};
 
 use crate::metrics::Metrics;
@@ -35,6 +36,16 @@
     },
     /// Something else that happened.
     Event(Event),
+    /// The store answered, and what it said went before. Its age is reckoned when this is
+    /// taken: the host may have been suspended since it was sent.
+    StoreAnswered {
+        /// The table that was read.
+        table: StoreTable,
+        /// The version up to which it is known.
+        version: u64,
+        /// When it was asked for, on the process's clock.
+        asked: Duration,
+    },
     /// Rows of the platform's tables said nothing that can be used.
     FaultyRows {
         /// What was wrong with them.
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -138,6 +138,7 @@
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
             | Decision::HallDraining { .. }
+            | Decision::StoodStill { .. }
             | Decision::Peer { .. }
             | Decision::SessionLost { .. }
             | Decision::StoreReading { .. } => {}
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -2,8 +2,9 @@
 //! follow the store, and the one that owns the dispatcher.
 
 use std::path::Path;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use gannetridge_clock::Clock;
 use gannetridge_dispatcher_core::rules::store_readers::Freshness;
 use gannetridge_dispatcher_core::{Dispatcher, Safeguards};
 use gannetridge_net::{
@@ -54,14 +55,14 @@
     platform_client: PlatformClient,
 ) -> anyhow::Result<()> {
     let log = logging::start(&settings.log)?;
-    let started = Instant::now();
+    let clock = Clock::start()?;
     let epoch_ms = wall_clock_ms();
     let dispatcher = Dispatcher::new(core_settings(&settings, epoch_ms))?;
     let (tx, rx) = unbounded::channel();
     let signals = Signals::listen()?;
     let stopping = StopFlag::default();
     serve_all(&settings, &platform_client, &tx, &stopping)?;
-    use_store(&settings, &platform_client, &tx, &dispatcher);
+    use_store(&settings, &platform_client, &tx, &dispatcher, &clock);
     info!(
         event = "started",
         name = %settings.name,
@@ -72,7 +73,7 @@
     );
     let core = CoreTask::new(Parts {
         dispatcher,
-        started,
+        clock,
         rx,
         tx,
         peers: Client::new(ClientLimits {
@@ -140,6 +141,7 @@
     platform_client: &PlatformClient,
     tx: &Sender,
     dispatcher: &Dispatcher,
+    clock: &Clock,
 ) {
     for table in [Table::Configuration, Table::Targets, Table::Hosts] {
         let pause = pause_between_reads(table, settings.bounds.drain_ms);
@@ -148,7 +150,13 @@
             told_ms: Freshness::new(settings.bounds.drain_ms).ask,
             link_bytes_per_s: settings.link.bytes_per_s(),
         };
-        let following = follow(platform_client.clone(), table, waits, tx.clone());
+        let following = follow(
+            platform_client.clone(),
+            table,
+            waits,
+            tx.clone(),
+            clock.clone(),
+        );
         monoio::spawn(following);
     }
     let info = dispatcher.info().clone();
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -8,8 +8,9 @@
 //! broke the bound, none of 8 since. The targets' table is read four times in the time
 //! in which a leaving target has to be known, which halved the calls.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use gannetridge_clock::Clock;
 use gannetridge_dispatcher_core::decision::StoreReading;
 use gannetridge_dispatcher_core::event::HallChange;
 use gannetridge_dispatcher_core::message::HostInfo;
@@ -140,10 +141,16 @@
 }
 
 /// Follows a table for as long as the process lives, while nobody else tells what it holds.
-pub async fn follow(platform_client: PlatformClient, table: Table, waits: Waits, tx: Sender) {
+pub async fn follow(
+    platform_client: PlatformClient,
+    table: Table,
+    waits: Waits,
+    tx: Sender,
+    clock: Clock,
+) {
     let mut pause = RetryPause(STORE_RETRY_MS.0);
     let mut progress = Progress::default();
-    let mut last_read = Instant::now();
+    let mut last_read = clock.now();
     loop {
         let Ok(state) = ask(&tx, Message::StoreState).await else {
             return;
@@ -158,7 +165,7 @@
             StoreReading::Reader | StoreReading::Told => waits.told_ms,
             StoreReading::Stale => 0,
         });
-        let asked = Instant::now();
+        let asked = clock.now();
         let read = match next {
             Read::Whole => (platform_client.read_table)(table).await,
             Read::Changes { after, wait_ms } => {
@@ -169,8 +176,9 @@
             Ok(rows) => {
                 pause.reset();
                 progress.answered(rows.version);
-                let (bytes, took) = (rows.bytes, last_read.elapsed());
-                last_read = Instant::now();
+                let (bytes, now) = (rows.bytes, clock.now());
+                let took = now.saturating_sub(last_read);
+                last_read = now;
                 if deliver(&tx, table, rows, next == Read::Whole, asked).is_err() {
                     return;
                 }
@@ -215,7 +223,7 @@
     table: Table,
     rows: Rows,
     whole: bool,
-    asked: Instant,
+    asked: Duration,
 ) -> Result<(), Closed> {
     reachable(tx, true)?;
     faulty_rows::report(tx, table, &rows)?;
@@ -252,13 +260,14 @@
         Table::Targets => Some(StoreTable::Targets),
         Table::Hosts => None,
     };
-    events.extend(answered.map(|table| Event::StoreAnswered {
+    let answered = answered.map(|table| Message::StoreAnswered {
         table,
         version,
-        age_ms: asked.elapsed().as_millis() as Millis,
-    }));
-    for event in events {
-        tx.send(Message::Event(event)).map_err(|_| Closed)?;
+        asked,
+    });
+    let messages = events.into_iter().map(Message::Event).chain(answered);
+    for message in messages {
+        tx.send(message).map_err(|_| Closed)?;
     }
     Ok(())
 }
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -109,6 +109,7 @@
             attempts: 2,
             over_in_ms: 900,
         },
+        Decision::StoodStill { gap_ms: 3_010 },
         Decision::Configuration {
             version: 12,
             from: ConfigurationSource::Store,
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,34 +1,38 @@
 //! The process's clock.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use gannetridge_clock::ClockError;
 use gannetridge_entry_wire::Time;
 
 /// Wall-clock time that never goes back: set once when the process starts, and
-/// moved on by the monotonic clock.
-#[derive(Clone, Copy, Debug)]
+/// moved on by a clock that counts the host's suspension.
+#[derive(Clone)]
 pub struct Clock {
     base: Time,
-    started: Instant,
+    since_start: gannetridge_clock::Clock,
 }
 
 impl Clock {
     /// Starts a clock at the system's time.
-    #[must_use]
-    pub fn start() -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system has no clock that counts suspension.
+    pub fn start() -> Result<Self, ClockError> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let micros = since_epoch.map_or(0, |d| d.as_micros() as u64);
-        Self {
+        Ok(Self {
             base: Time(micros),
-            started: Instant::now(),
-        }
+            since_start: gannetridge_clock::Clock::start()?,
+        })
     }
 
     /// Returns the time.
     #[must_use]
     pub fn now(&self) -> Time {
         self.base
-            .plus_micros(self.started.elapsed().as_micros() as u64)
+            .plus_micros(self.since_start.now().as_micros() as u64)
     }
 
     /// Returns how long it is until `time`, nothing if it has passed.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -51,7 +51,7 @@
     // Bound before the host does anything: see `gannetridge_net::bind`.
     let peer_listener = listen(settings.peer_listen)?;
     let listener = listen(settings.listen)?;
-    let clock = Clock::start();
+    let clock = Clock::start()?;
     let host = Host::new(settings.host(clock.now()), clock.now());
     let (tx, rx) = unbounded::channel();
     let client = Client::new(ClientLimits::default());
