--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -17,10 +17,11 @@
 use gannetridge_net::Client;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
-use tracing::info;
+use tracing::{info, warn};
 use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::decision_log;
+use crate::grace_period;
 use crate::mailbox::{Message, Sender, StopFlag, StoreState};
 use crate::metrics::Metrics;
 use crate::peer_api;
@@ -42,6 +43,8 @@
     pub rx: unbounded::Rx<Message>,
     /// Sends messages to this task.
     pub tx: Sender,
+    /// How long the process may take to stop.
+    pub grace: Duration,
     /// Calls peers.
     pub peers: Client,
     /// Calls targets.
@@ -133,6 +136,10 @@
     fn stop(&mut self, since: Duration, now: Duration) {
         info!(event = "stopping");
         self.parts.stopping.set();
+        let enforced = grace_period::enforce(self.parts.clock.clone(), since, self.parts.grace);
+        if let Err(error) = enforced {
+            warn!(event = "grace-period-not-enforced", %error);
+        }
         let age_ms = as_millis(now.saturating_sub(since));
         self.handle(Event::Stop { age_ms });
     }
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -16,6 +16,7 @@
 mod core_task;
 pub mod decision_log;
 mod faulty_rows;
+pub mod grace_period;
 mod logging;
 mod mailbox;
 pub mod metrics;
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -76,6 +76,7 @@
         clock,
         rx,
         tx,
+        grace: Duration::from_millis(settings.bounds.bounds().grace_period_ms),
         peers: Client::new(ClientLimits {
             suspect_after: Some(PEER_SUSPECT),
             ..client_limits(&settings.link)
