Bound what callers estimate

Cause: an estimate near 2^64 overflowed the sum for the latency objective: the host panicked in a build with overflow checks, and reckoned a tiny objective in others.

--- a/crates/dispatcher-core/src/dispatcher/caller_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/caller_requests.rs
@@ -30,7 +30,8 @@
         self.answer(request_id, rejected.answer);
     }
 
-    pub(super) fn submit(&mut self, now: Millis, request_id: RequestId, submit: Submit) {
+    pub(super) fn submit(&mut self, now: Millis, request_id: RequestId, mut submit: Submit) {
+        submit.spec.bound_estimates();
         let path = submit.path.clone();
         let (queue, id) = match admission::check(self.configuration.as_ref(), &submit) {
             Ok(Addressed { queue, id }) => (queue.clone(), id),
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -14,6 +14,10 @@
 /// The longest specification, in bytes: the platform's bound.
 pub const MAX_SPECIFICATION: usize = 4_000;
 
+/// No estimate of a running time counts as longer than this, in ms: sums of many stay far below
+/// what a clock's time can hold.
+pub const LONGEST_ESTIMATE_MS: Millis = 86_400_000;
+
 /// Resources of a target: what it has, what is free, what a task takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
@@ -142,6 +146,13 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Bounds what the caller says of running times; see [`LONGEST_ESTIMATE_MS`].
+    pub fn bound_estimates(&mut self) {
+        for step in &mut self.steps {
+            step.estimate_ms = step.estimate_ms.min(LONGEST_ESTIMATE_MS);
+        }
+    }
+
     /// Checks what doesn't depend on targets.
     ///
     /// # Errors
