Tell slow targets from long tasks, and test what is learned

What the tests led to: - An attempt's latest pace shows a target that turns slow in the midst of its tasks; that it changed shows it almost surely.

--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -4,7 +4,7 @@
 //! `LEAST_STALL_MS`, and for as long as a target that is `SLOWEST` times slower than
 //! estimated takes for `VISIBLE_PERCENT` of the work, is *stalled*: it is stopped and tried
 //! elsewhere, and its target is suspended as for an overrun. A slow attempt isn't stalled.
-//! Where running times are learned, the time that is expected of it stands in for the estimate
+//! Where running times are learned, the longest tasks of its kind stand in for the estimate
 //! ([`super::running_time`]), and one is let go on at its own pace, which also tells when
 //! it will end.
 //!
@@ -27,20 +27,37 @@
 /// Progress is told in whole percent: of two, one shows at least.
 const VISIBLE_PERCENT: f64 = 2.0;
 
-/// An attempt's pace may fall by this factor, as when others begin beside it.
-const UNEVEN: f64 = 3.0;
+/// The longest tasks of a kind are far rarer than others: these show a percent at least.
+const SHOWN_PERCENT: f64 = 1.0;
+/// An attempt that is so many times slower than it was has been slowed: far more than what
+/// whole percents leave open.
+const SLOWED: f64 = 2.0;
 /// Percent of its work after which an attempt's pace shows: it is told in whole percent.
 const LEAST_PERCENT: u8 = 5;
 
-/// How far an attempt has got, and since when.
+/// How far an attempt had got at some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Mark {
+    /// Percent of its work.
+    percent: u8,
+    /// The target's clock, in ms.
+    clock: Millis,
+}
+
+/// How far an attempt has got, and since when.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Progress {
     /// Percent of its work.
     percent: u8,
     /// When it had got so far, in ms of its target's clock.
     since: Millis,
-    /// What was first known: percent of its work, and when on its target's clock.
-    first: (u8, Millis),
+    /// What was first known.
+    first: Mark,
+    /// From where its pace is reckoned, and from where it will be next.
+    pace_from: Mark,
+    next_from: Mark,
+    /// Its fastest pace so far, as the time for all of its work in ms.
+    fastest_ms: Option<f64>,
     /// Whether a listing told any of it.
     told: bool,
 }
@@ -49,22 +66,25 @@
     /// Returns what is known of an attempt when its target has accepted it.
     #[must_use]
     pub fn begun(clock: Millis) -> Self {
-        Self {
-            percent: 0,
-            since: clock,
-            first: (0, clock),
-            told: false,
-        }
+        Self::known(0, clock, false)
     }
 
     /// Returns what is known of an attempt of which a listing is the first to tell.
     #[must_use]
     pub fn first_told(percent: u8, clock: Millis) -> Self {
+        Self::known(percent, clock, true)
+    }
+
+    fn known(percent: u8, clock: Millis, told: bool) -> Self {
+        let first = Mark { percent, clock };
         Self {
             percent,
             since: clock,
-            first: (percent, clock),
-            told: true,
+            first,
+            pace_from: first,
+            next_from: first,
+            fastest_ms: None,
+            told,
         }
     }
 
@@ -74,6 +94,12 @@
         if percent > self.percent {
             self.percent = percent;
             self.since = clock;
+            if percent - self.next_from.percent >= LEAST_PERCENT {
+                self.pace_from = self.next_from;
+                self.next_from = Mark { percent, clock };
+                let fastest_ms = self.fastest_ms.unwrap_or(f64::INFINITY);
+                self.fastest_ms = self.pace_ms().map(|pace_ms| pace_ms.min(fastest_ms));
+            }
         }
     }
 
@@ -83,14 +109,32 @@
         self.told
     }
 
-    /// Returns how long all of its work takes at the pace so far, in ms, once that shows.
+    /// Returns how long all of its work takes at its latest pace, in ms, once that shows. The
+    /// latest, since a target that turns slow does so in the middle of its tasks.
     #[must_use]
-    pub fn total_ms(&self) -> Option<f64> {
-        let (first, began) = self.first;
-        let (done, took) = (self.percent - first, self.since.saturating_sub(began));
+    pub fn pace_ms(&self) -> Option<f64> {
+        let done = self.percent - self.pace_from.percent;
+        let took = self.since.saturating_sub(self.pace_from.clock);
         (done >= LEAST_PERCENT && took > 0).then(|| took as f64 * 100.0 / f64::from(done))
     }
 
+    /// Returns by how many times it has become slower than it was, once that shows. A task that is
+    /// long by nature advances slowly from its beginning.
+    #[must_use]
+    pub fn slowed_by(&self) -> Option<f64> {
+        let slowed_by = self.pace_ms()? / self.fastest_ms?;
+        (slowed_by >= SLOWED).then_some(slowed_by)
+    }
+
+    /// Returns how long it will have run when it is done, in ms, if it goes on at its latest
+    /// pace, once that shows.
+    #[must_use]
+    pub fn end_ms(&self) -> Option<f64> {
+        let run_ms = self.since.saturating_sub(self.first.clock) as f64;
+        let left = 1.0 - f64::from(self.percent.min(100)) / 100.0;
+        Some(run_ms + self.pace_ms()? * left)
+    }
+
     /// Returns whether the attempt stands still.
     #[must_use]
     pub fn is_stalled(&self, clock: Millis, estimate_ms: Millis) -> bool {
@@ -98,15 +142,20 @@
         self.is_still_for(clock, visible_ms)
     }
 
-    /// Returns whether the attempt stands still, beside what is expected of it: `expected_ms`
-    /// for all of its work, and beside its own pace. One that goes on as before isn't stalled,
-    /// however long it takes.
+    /// Returns whether the attempt stands still: beside its own pace, and beside the longest
+    /// tasks of its kind, which take `longest_ms`. One that goes on isn't stalled, however long
+    /// it takes, also if its target has just turned `SLOWEST` times slower.
     #[must_use]
-    pub fn is_stalled_beside(&self, clock: Millis, expected_ms: f64) -> bool {
-        let slowest_ms = expected_ms * SLOWEST;
-        let own_ms = self.total_ms().unwrap_or(0.0) * UNEVEN;
-        let visible_ms = slowest_ms.max(own_ms) * VISIBLE_PERCENT / 100.0;
-        self.is_still_for(clock, visible_ms)
+    pub fn is_stalled_beside(&self, clock: Millis, longest_ms: f64) -> bool {
+        let total_ms = longest_ms.max(self.rough_pace_ms());
+        self.is_still_for(clock, total_ms * SLOWEST * SHOWN_PERCENT / 100.0)
+    }
+
+    /// Returns how long all of its work takes as far as that shows, in ms, or 0.
+    fn rough_pace_ms(&self) -> f64 {
+        let done = f64::from(self.percent - self.first.percent).max(1.0);
+        let run_ms = self.since.saturating_sub(self.first.clock) as f64;
+        self.pace_ms().unwrap_or(run_ms * 100.0 / done)
     }
 
     fn is_still_for(&self, clock: Millis, visible_ms: f64) -> bool {
--- a/crates/dispatcher-core/src/rules/running_time.rs
+++ b/crates/dispatcher-core/src/rules/running_time.rs
@@ -5,8 +5,9 @@
 //! mostly differ in these. For each kind the ratios of running time to estimate make a
 //! histogram in steps of a third of an octave, from ends on whichever target and for whichever
 //! owner, each divided by how slow its target is ([`super::target_speed`]) and by what its
-//! data's distance costs. Ends fade with [`MEMORY_MS`] and [`MEMORY_ENDS`], whichever is
-//! shorter; below them lie a few imagined ends around the estimate, which alone speak for a
+//! data's distance costs. Ends fade with `MEMORY_MS` and `MEMORY_ENDS`, whichever is
+//! shorter, but for the last few. Where most of the last ends lie beyond what was usual, all
+//! before them are forgotten: the work has changed. Below them lie a few imagined ends around the estimate, which alone speak for a
 //! kind that isn't known. From this follow the median, the tail, and what is left of a task that
 //! has run for some time. A task *overruns* after `OVERRUN_TAILS` times the tail.
 //!
@@ -29,18 +30,28 @@
 const STEPS_BELOW_ONE: usize = 18;
 /// Steps of the histogram: sixteen octaves.
 const STEPS: usize = 48;
-/// Ends fade to a third in this time, in ms: callers' work changes with its hour, and a
-/// release of theirs has to be taken in while its first jobs are still under way.
-pub const MEMORY_MS: Millis = 20_000;
+/// Ends fade to a third in this time, in ms: callers' work changes with its hour and their
+/// releases, and tails show only in some hundred ends.
+const MEMORY_MS: Millis = 60_000;
 /// No more than about so many ends count: a busy kind's change is seen sooner, and a tail of one
 /// task in a hundred still shows.
-pub const MEMORY_ENDS: f32 = 300.0;
+const MEMORY_ENDS: f32 = 300.0;
+/// Time alone leaves about so many ends: a kind whose tasks come rarely is known by its last.
+const KEPT_ENDS: f32 = 16.0;
+/// How many of the last ends are looked at for a change of the work.
+const LAST_ENDS: usize = 16;
+/// So many of these lie beyond the usual once the work has changed.
+const CHANGED_ENDS: usize = 12;
+/// The parts of a kind's tasks between which a running time is usual.
+const USUAL: (f64, f64) = (0.05, 0.95);
 /// Imagined ends, as ratios: callers' estimates are right to a factor of 2.
 const IMAGINED: [f64; 5] = [0.5, 0.71, 1.0, 1.41, 2.0];
 /// A kind with this weight of ends is known as well as not.
 const HALF_KNOWN_ENDS: f32 = 8.0;
 /// The part of tasks that end before the tail.
 const TAIL: f64 = 0.99;
+/// Some task may take so many times the median, though none of the known ones did.
+const LEAST_TAIL: f64 = 4.0;
 /// A task overruns after so many times the tail: four times the estimate while nothing is known.
 const OVERRUN_TAILS: f64 = 2.0;
 /// An attempt overruns no sooner than this beyond that, in ms: calls and listings take it.
@@ -51,24 +62,30 @@
 const UNKNOWN_ESTIMATE_MS: Millis = 1_000;
 /// No estimate counts as shorter than this, in ms: calls and listings take as long.
 const SHORTEST_ESTIMATE_MS: Millis = 10;
-/// No estimate counts as longer than this, in ms: beyond all that callers wait for.
-const LONGEST_ESTIMATE_MS: Millis = 3_600_000;
+/// A longer estimate counts as none, in ms: it is beyond all that callers wait for.
+const LONGEST_ESTIMATE_MS: Millis = 600_000;
 
 /// Returns what a caller's estimate counts as, in ms.
 #[must_use]
 pub fn usable_estimate_ms(estimate_ms: Millis) -> Millis {
-    match estimate_ms {
-        0 => UNKNOWN_ESTIMATE_MS,
-        told => told.clamp(SHORTEST_ESTIMATE_MS, LONGEST_ESTIMATE_MS),
+    if is_told(estimate_ms) {
+        estimate_ms.max(SHORTEST_ESTIMATE_MS)
+    } else {
+        UNKNOWN_ESTIMATE_MS
     }
 }
 
+/// Returns whether a caller's estimate says anything.
+fn is_told(estimate_ms: Millis) -> bool {
+    (1..=LONGEST_ESTIMATE_MS).contains(&estimate_ms)
+}
+
 /// A kind of task: what tasks have in common whose running times are learned together.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskKind {
     /// The pool.
     pub pool: Name,
-    /// The exponent of 2 in the estimate in ms, if there is one.
+    /// The exponent of 2 in the estimate in ms, if that says anything.
     pub estimate_octave: Option<u32>,
     /// The exponent of 2 in the processor time in thousandths of a core.
     pub cpu_octave: u32,
@@ -80,7 +97,7 @@
     pub fn of(order: &TaskOrder) -> Self {
         Self {
             pool: order.pool.clone(),
-            estimate_octave: (order.estimate_ms > 0)
+            estimate_octave: is_told(order.estimate_ms)
                 .then(|| usable_estimate_ms(order.estimate_ms).ilog2()),
             cpu_octave: order.resources.cpu.max(1).ilog2(),
         }
@@ -94,6 +111,16 @@
     ends: [f32; STEPS],
     /// When the weights were last faded, in ms.
     at: Millis,
+    /// The last ends, the latest first.
+    last: [LastEnd; LAST_ENDS],
+}
+
+/// One of the last ends of a kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastEnd {
+    step: usize,
+    /// Whether it lay beyond most of those before it.
+    unusual: bool,
 }
 
 impl RunningTimes {
@@ -103,18 +130,55 @@
         Self {
             ends: [0.0; STEPS],
             at: now,
+            last: [LastEnd::default(); LAST_ENDS],
         }
     }
 
     /// Takes an end in: the running time over the estimate, on an ordinary target.
     pub fn ended(&mut self, now: Millis, ratio: f64) {
+        self.remember(ratio);
+        self.fade(now);
+        self.ends[step_of(ratio)] += 1.0;
+        if self.has_changed() {
+            self.begin_anew();
+        }
+    }
+
+    /// Keeps one of the last ends.
+    fn remember(&mut self, ratio: f64) {
+        let (few, most) = USUAL;
+        let usual = self.quantile(few)..=self.quantile(most);
+        self.last.rotate_right(1);
+        self.last[0] = LastEnd {
+            step: step_of(ratio),
+            unusual: !usual.contains(&ratio),
+        };
+    }
+
+    /// Returns whether the work is another one than most of the ends show.
+    fn has_changed(&self) -> bool {
+        let unusual = self.last.iter().filter(|end| end.unusual).count();
+        unusual >= CHANGED_ENDS && self.known_ends() > LAST_ENDS as f32
+    }
+
+    /// Forgets all but the last ends.
+    fn begin_anew(&mut self) {
+        self.ends = [0.0; STEPS];
+        for end in &mut self.last {
+            self.ends[end.step] += 1.0;
+            end.unusual = false;
+        }
+    }
+
+    fn fade(&mut self, now: Millis) {
         let since = now.saturating_sub(self.at) as f32;
-        let kept = (-since / MEMORY_MS as f32).exp() * (1.0 - 1.0 / MEMORY_ENDS);
+        let by_time = (-since / MEMORY_MS as f32).exp();
+        let least = (KEPT_ENDS / self.known_ends().max(KEPT_ENDS)).min(1.0);
+        let kept = by_time.max(least) * (1.0 - 1.0 / MEMORY_ENDS);
         for weight in &mut self.ends {
             *weight *= kept;
         }
         self.at = self.at.max(now);
-        self.ends[step_of(ratio)] += 1.0;
     }
 
     /// Takes in that a task was stopped after it had run for so long, if that says anything.
@@ -155,6 +219,12 @@
         self.quantile(TAIL)
     }
 
+    /// Returns the longest ratio to reckon with, also where few ends leave the tail unknown.
+    #[must_use]
+    pub fn longest(&self) -> f64 {
+        self.tail().max(self.median() * LEAST_TAIL)
+    }
+
     /// Returns the ratio that a part of the tasks stays below.
     #[must_use]
     pub fn quantile(&self, part: f64) -> f64 {
--- a/crates/dispatcher-core/src/rules/target_speed.rs
+++ b/crates/dispatcher-core/src/rules/target_speed.rs
@@ -6,8 +6,8 @@
 //! are long by nature a long one says little, where none is it says much. With time the
 //! belief returns, by a third in 2 s, to what the target was for long, and to what any
 //! target may be: one that turned slow gets tasks again, and a change is believed soon. Attempts
-//! that still run count by their pace where progress is told, else by having lasted so
-//! long; they are reckoned in when asked, and not kept. A target without ends is believed to be
+//! that still run count by their pace where progress is told, and more if that has changed,
+//! else by having lasted so long; they are reckoned in when asked, and not kept. A target without ends is believed to be
 //! like those of its labels and size. The slowdown is the belief's mean, in logarithms.
 //!
 //! **Inputs.** Ratios of running time to estimate, with distance of data taken out; ms. **Reason.**
@@ -30,6 +30,8 @@
 const LASTING_WEIGHT: f32 = 1.0 / 64.0;
 /// How much a belief returns to what any target may be, the rest to what it was for long.
 const ANY_PART: f32 = 0.5;
+/// The part of attempts that change their pace on a target that doesn't.
+const UNEVEN_PART: f64 = 0.02;
 /// How many ends it takes for a target to count for others of its kind, or for what is common.
 const LEAST_ENDS: u32 = 8;
 /// How many targets it takes to say what is common to them.
@@ -53,8 +55,15 @@
 /// What an attempt that still runs shows.
 #[derive(Clone, Copy, Debug)]
 pub enum Running<'a> {
-    /// It advances at a pace by which it will take so many times its estimate.
-    AtPace(&'a RunningTimes, f64),
+    /// It tells its progress.
+    AtPace {
+        /// The running times of its kind.
+        times: &'a RunningTimes,
+        /// How many times its estimate all of its work takes at its latest pace.
+        ratio: f64,
+        /// By how many times it has become slower since it began, if it has.
+        slowed_by: Option<f64>,
+    },
     /// It has run for so many times its estimate, and tells no progress.
     For(&'a RunningTimes, f64),
 }
@@ -133,16 +142,23 @@
         let mut belief = self.returned(now);
         for shown in running {
             match shown {
-                Running::AtPace(times, ratio) => {
+                Running::AtPace {
+                    times,
+                    ratio,
+                    slowed_by,
+                } => {
                     weigh(&mut belief, |slowdown| times.likelihood(ratio / slowdown));
+                    if let Some(by) = slowed_by {
+                        let shown = slowdown_at(f64::from(mean(&self.lasting))) * by;
+                        weigh(&mut belief, |slowdown| if_about(shown, slowdown));
+                    }
                 }
                 Running::For(times, ratio) => {
                     weigh(&mut belief, |slowdown| times.outliving(ratio / slowdown));
                 }
             }
         }
-        let steps = belief.iter().enumerate();
-        let mean: f32 = steps.map(|(step, part)| step as f32 * part).sum();
+        let mean = mean(&belief);
         let near = (0..STEPS).filter(|step| (*step as f32 - mean).abs() <= NEAR_STEPS);
         Slowdown {
             factor: slowdown_at(f64::from(mean)),
@@ -197,6 +213,22 @@
     belief.map(|part| (part / sum).max(f32::EPSILON))
 }
 
+/// Returns the mean place of a belief, in steps.
+fn mean(belief: &Belief) -> f32 {
+    let steps = belief.iter().enumerate();
+    steps.map(|(step, part)| step as f32 * part).sum()
+}
+
+/// Returns how likely it is that an attempt's change shows one slowdown where it is another.
+fn if_about(shown: f64, other: f64) -> f64 {
+    let steps = (shown / other).log2().abs() * STEPS_PER_OCTAVE;
+    if steps <= f64::from(NEAR_STEPS) {
+        1.0
+    } else {
+        UNEVEN_PART
+    }
+}
+
 /// Returns the slowdown at a place of the belief, counted in steps.
 fn slowdown_at(step: f64) -> f64 {
     ((step - STEPS_BELOW_ONE as f64) / STEPS_PER_OCTAVE).exp2()
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -121,7 +121,7 @@
         let progress = self.progress.get_or_insert(first);
         progress.observe(percent, clock);
         self.stalled = match &self.forecast {
-            Some(forecast) => progress.is_stalled_beside(clock, forecast.total_ms),
+            Some(forecast) => progress.is_stalled_beside(clock, forecast.longest_ms),
             None => progress.is_stalled(clock, self.estimate_ms),
         };
     }
@@ -182,8 +182,8 @@
 /// How long an attempt is expected to run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Forecast {
-    /// The time for all of its work, before it shows its own pace, in ms.
-    pub(super) total_ms: f64,
+    /// The longest time to reckon with for its kind there, in ms.
+    pub(super) longest_ms: f64,
     /// Its expected end, on this host's clock.
     pub(super) end: Millis,
     /// When it overruns if its target tells no progress, in ms from its start.
--- a/crates/dispatcher-core/src/targets/learned.rs
+++ b/crates/dispatcher-core/src/targets/learned.rs
@@ -140,28 +140,40 @@
         attempt.confirmed?;
         let times = self.times(&attempt.kind);
         let scale_ms = self.scale_ms(attempt.estimate_ms, attempt.is_far);
-        let total_ms = attempt.progress.and_then(|progress| progress.total_ms());
+        let progress = attempt.progress;
         let run_ms = now.saturating_sub(attempt.started) as f64;
-        Some(match total_ms {
-            Some(total_ms) => Running::AtPace(times, total_ms / scale_ms),
+        Some(match progress.and_then(|progress| progress.pace_ms()) {
+            Some(pace_ms) => Running::AtPace {
+                times,
+                ratio: pace_ms / scale_ms,
+                slowed_by: progress.and_then(|progress| progress.slowed_by()),
+            },
             None => Running::For(times, run_ms / scale_ms),
         })
     }
 
-    /// Returns what is expected of an attempt on a target of some slowdown.
-    fn forecast(&self, now: Millis, attempt: &Attempt, slowdown: f64) -> Forecast {
+    /// Returns what is expected of an attempt on a target of some slowdown. What overruns is
+    /// reckoned by the ends there (`shown_by_ends`): a hung attempt doesn't excuse itself.
+    fn forecast(
+        &self,
+        now: Millis,
+        attempt: &Attempt,
+        slowdown: f64,
+        shown_by_ends: f64,
+    ) -> Forecast {
         let times = self.times(&attempt.kind);
-        let scale_ms = self.scale_ms(attempt.estimate_ms, attempt.is_far) * slowdown;
+        let ordinary_ms = self.scale_ms(attempt.estimate_ms, attempt.is_far);
+        let scale_ms = ordinary_ms * slowdown;
         let run_ms = now.saturating_sub(attempt.started) as f64;
-        let pace_ms = attempt.progress.and_then(|progress| progress.total_ms());
-        let left_ms = match pace_ms {
-            Some(total_ms) => (total_ms - run_ms).max(0.0),
+        let end_ms = attempt.progress.and_then(|progress| progress.end_ms());
+        let left_ms = match end_ms {
+            Some(end_ms) => (end_ms - run_ms).max(0.0),
             None => times.left(run_ms / scale_ms) * scale_ms,
         };
         Forecast {
-            total_ms: times.median() * scale_ms,
+            longest_ms: times.longest() * ordinary_ms * shown_by_ends,
             end: now + left_ms as Millis,
-            overrun_after_ms: times.overrun_after_ms(scale_ms),
+            overrun_after_ms: times.overrun_after_ms(ordinary_ms * shown_by_ends),
         }
     }
 
@@ -226,8 +238,10 @@
         let slowdown = learned.speed.slowdown(now, shown);
         let factor = slowdown.factor / times.common;
         learned.slowdown = Slowdown { factor, ..slowdown };
+        let by_ends = learned.speed.slowdown(now, std::iter::empty());
+        let by_ends = by_ends.factor / times.common;
         for attempt in self.attempts.values_mut() {
-            attempt.forecast = Some(times.forecast(now, attempt, factor));
+            attempt.forecast = Some(times.forecast(now, attempt, factor, by_ends));
         }
     }
 
--- /dev/null
+++ b/crates/dispatcher-core/tests/running_times.rs
@@ -0,0 +1,216 @@
+//! How long tasks run, and how slow targets are, as rules.
+
+mod support;
+
+use gannetridge_dispatcher_core::rules::progress::Progress;
+use gannetridge_dispatcher_core::rules::running_time::{
+    usable_estimate_ms, RunningTimes, TaskKind,
+};
+use gannetridge_dispatcher_core::rules::target_speed::{common, TargetSpeed};
+use gannetridge_dispatcher_core::Millis;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use support::{case, order};
+
+/// Between ends, in ms.
+const STEP_MS: Millis = 20;
+
+/// Running time over an estimate that is off by 40 %; 3 tasks in 100 take 7 times as long.
+fn draw(rng: &mut Pcg64, wrong: f64) -> f64 {
+    let off: f64 = rng.random_range(0.6..1.4);
+    let luck = if rng.random_bool(0.03) { 7.0 } else { 1.0 };
+    wrong * luck / off
+}
+
+/// Takes so many ends in.
+fn learn(times: &mut RunningTimes, rng: &mut Pcg64, wrong: f64, ends: u64) {
+    for _ in 0..ends {
+        times.ended(times.last_end() + STEP_MS, draw(rng, wrong));
+    }
+}
+
+/// A kind that is known, and the generator that made it.
+fn known(wrong: f64, ends: u64) -> (RunningTimes, Pcg64) {
+    let mut rng = Pcg64::seed_from_u64(3);
+    let mut times = RunningTimes::new(0);
+    learn(&mut times, &mut rng, wrong, ends);
+    (times, rng)
+}
+
+/// Asserts that a value is another one, but for some part of it.
+fn assert_near(value: f64, wanted: f64, part: f64) {
+    assert!(
+        (value / wanted - 1.0).abs() <= part,
+        "{value}, not {wanted}"
+    );
+}
+
+fn slowdown(speed: &TargetSpeed, now: Millis) -> f64 {
+    speed.slowdown(now, std::iter::empty()).factor
+}
+
+case!(an_unknown_kind_takes_its_estimate, {
+    let times = RunningTimes::new(0);
+    assert_near(times.median(), 1.0, 0.15);
+    assert_near(times.left(0.0), 1.1, 0.15);
+    // As long as an attempt may take where times aren't learned.
+    assert_near(times.overrun_after_ms(200.0) as f64, 950.0, 0.3);
+    assert_eq!(times.certainty(), 0.0);
+});
+
+macro_rules! wrong_estimates {
+    ($($name:ident: $wrong:expr;)+) => {
+        $(case!($name, {
+            let (times, _) = known($wrong, 30);
+            assert_near(times.median(), $wrong, 0.25);
+            let (times, _) = known($wrong, 600);
+            assert_near(times.median(), $wrong, 0.1);
+            assert_near(times.tail(), 7.0 * $wrong, 0.4);
+        });)+
+    };
+}
+wrong_estimates! {
+    estimates_that_are_right: 1.0;
+    estimates_three_times_too_low: 3.0;
+    estimates_three_times_too_high: 1.0 / 3.0;
+}
+
+case!(a_task_far_past_its_estimate_is_a_long_one, {
+    let (times, _) = known(1.0, 600);
+    assert_near(times.left(0.0), 1.2, 0.25);
+    assert!(times.left(3.0) > 3.0, "{}", times.left(3.0));
+    assert!(
+        times.left(6.0) < times.left(3.0),
+        "but it has run for most of it"
+    );
+    assert_near(times.left(100.0), 50.0, 0.01);
+});
+
+case!(work_that_changes_is_learned, {
+    let (mut times, mut rng) = known(1.0, 600);
+    learn(&mut times, &mut rng, 3.0, 300);
+    assert_near(times.median(), 3.0, 0.25);
+});
+
+case!(a_kind_that_rests_is_known_by_its_last_ends, {
+    let (mut times, mut rng) = known(3.0, 600);
+    times.ended(times.last_end() + 600_000, 3.0);
+    assert_near(times.median(), 3.0, 0.25);
+    assert!((15.0..=18.0).contains(&times.known_ends()));
+    learn(&mut times, &mut rng, 1.0, 40);
+    assert_near(times.median(), 1.0, 0.25);
+});
+
+case!(bad_numbers_give_usable_ones, {
+    let mut times = RunningTimes::new(Millis::MAX);
+    let bad = [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300];
+    for ratio in bad {
+        times.ended(0, ratio);
+        let values = [
+            times.median(),
+            times.tail(),
+            times.left(1.0),
+            times.likelihood(ratio),
+        ];
+        assert!(
+            values
+                .iter()
+                .all(|value| value.is_finite() && *value >= 0.0),
+            "{values:?}"
+        );
+        let mut speed = TargetSpeed::default();
+        speed.ended(0, &times, ratio);
+        assert!(slowdown(&speed, Millis::MAX).is_finite());
+    }
+    let usable = [0, 1, 200, Millis::MAX].map(usable_estimate_ms);
+    assert_eq!(usable, [1_000, 10, 200, 1_000]);
+    let octaves = [0, 1, 200, Millis::MAX]
+        .map(|estimate_ms| TaskKind::of(&order("task", estimate_ms)).estimate_octave);
+    assert_eq!(octaves, [None, Some(3), Some(7), None]);
+});
+
+case!(long_tasks_make_no_target_slow_and_slow_targets_are_found, {
+    let (times, mut rng) = known(1.0, 600);
+    let (mut alarms, mut ends, mut found) = (0, 0, Vec::new());
+    for _ in 0..200 {
+        let mut speed = TargetSpeed::default();
+        let mut now = times.last_end();
+        let mut end = |slower: f64| {
+            now += 100;
+            speed.ended(now, &times, slower * draw(&mut rng, 1.0));
+            slowdown(&speed, now)
+        };
+        let seen: Vec<f64> = (0..100).map(|_| end(1.0)).collect();
+        alarms += seen.iter().filter(|seen| **seen > 2.5).count();
+        ends += seen.len();
+        found.push((1..).find(|_| end(6.5) > 2.5).expect("it ends by itself"));
+    }
+    assert!(alarms * 1_000 <= ends, "{alarms} in {ends}");
+    assert!(found.iter().all(|ends| *ends <= 5), "{found:?}");
+});
+
+case!(an_unknown_kind_says_nothing_of_its_target, {
+    let times = RunningTimes::new(0);
+    let mut speed = TargetSpeed::default();
+    (1..10).for_each(|number| speed.ended(number * 50, &times, 6.5));
+    assert_near(slowdown(&speed, 450), 1.0, 0.2);
+});
+
+/// A target after so many ends at a slowdown, the last of them now.
+fn after_ends(slower: f64, ends: u64) -> (TargetSpeed, Millis) {
+    let (times, mut rng) = known(1.0, 600);
+    let mut speed = TargetSpeed::default();
+    for number in 1..=ends {
+        speed.ended(number * 50, &times, slower * draw(&mut rng, 1.0));
+    }
+    (speed, ends * 50)
+}
+
+case!(a_target_that_was_slow_for_a_moment_is_tried_again, {
+    let (mut speed, mut now) = after_ends(1.0, 200);
+    let (times, mut rng) = known(1.0, 600);
+    for _ in 0..5 {
+        now += 50;
+        speed.ended(now, &times, 6.5 * draw(&mut rng, 1.0));
+    }
+    assert!(slowdown(&speed, now) > 5.0);
+    assert!(slowdown(&speed, now + 15_000) < 1.5);
+});
+
+case!(a_target_that_was_slow_for_long_stays_so, {
+    let (speed, now) = after_ends(1.67, 400);
+    assert_near(slowdown(&speed, now), 1.67, 0.1);
+    assert!(slowdown(&speed, now + 30_000) > 1.3);
+});
+
+case!(a_new_target_is_taken_to_be_like_others_of_its_kind, {
+    let known: Vec<TargetSpeed> = (0..3).map(|_| after_ends(0.625, 400).0).collect();
+    assert_near(slowdown(&TargetSpeed::like(known.iter()), 0), 0.65, 0.1);
+    let few = TargetSpeed::like(known[..2].iter());
+    assert_near(slowdown(&few, 0), 1.0, 0.15);
+});
+
+case!(what_is_common_to_all_targets_is_their_tasks, {
+    assert_eq!(common([3.0, 2.9, 9.0, 3.1, 3.0].into_iter()), 3.0);
+    assert_eq!(common([3.0, 3.0].into_iter()), 1.0, "two say nothing");
+});
+
+case!(a_pace_is_read_off_progress, {
+    let mut progress = Progress::begun(1_000);
+    assert_eq!(progress.pace_ms(), None);
+    progress.observe(4, 1_040);
+    assert_eq!(progress.pace_ms(), None, "too little to tell");
+    progress.observe(20, 1_200);
+    assert_eq!(
+        (progress.pace_ms(), progress.end_ms()),
+        (Some(1_000.0), Some(1_000.0))
+    );
+    progress.observe(40, 1_400);
+    progress.observe(50, 1_800);
+    assert_eq!(progress.slowed_by(), Some(4.0));
+    assert!(
+        !progress.is_stalled_beside(2_000, 100.0),
+        "it goes on at its own pace"
+    );
+    assert!(progress.is_stalled_beside(2_300, 100.0));
+});
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -11,8 +11,8 @@
 };
 use gannetridge_dispatcher_core::spec::{JobSpec, Resources, StepSpec};
 use gannetridge_dispatcher_core::{
-    Action, Answer, Bounds, CallId, Dispatcher, Event, Millis, RequestId, Settings, TargetCall,
-    TargetReply,
+    Action, Answer, Bounds, CallId, Decision, Dispatcher, Event, Millis, RequestId, Settings,
+    TargetCall, TargetReply,
 };
 
 pub const BOUNDS: Bounds = Bounds {
@@ -41,6 +41,8 @@
     /// Where requests to peers were sent.
     pub addresses: std::collections::HashMap<CallId, std::net::SocketAddr>,
     pub replies: Vec<(RequestId, Reply)>,
+    /// What it logged.
+    pub decisions: Vec<Decision>,
     pub stopped: bool,
 }
 
@@ -154,6 +156,7 @@
             requests: Vec::new(),
             addresses: std::collections::HashMap::new(),
             replies: Vec::new(),
+            decisions: Vec::new(),
             stopped: false,
         };
         rig.event(Event::ConfigurationRead(queues(1)));
@@ -199,7 +202,7 @@
                 }
                 Action::Reply { request_id, reply } => self.replies.push((request_id, *reply)),
                 Action::Stopped => self.stopped = true,
-                Action::Record(_) => {}
+                Action::Record(decision) => self.decisions.push(decision),
             }
         }
     }
