Tell a queue's failures from a target's

Cause: two failures in a row suspend a target, whichever queue's tasks they were. A queue whose tasks fail anywhere took one target after the other from all other queues of its pool: in the test none of six targets took another queue's task.

With running-times = learned a failure doesn't count against its target while the same kind of task fails on most of at least three other targets.

--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -20,6 +20,7 @@
 //! | Does an attempt stand still? | [`progress`] |
 //! | How long will a task run? | [`running_time`] |
 //! | How slow is a target? | [`target_speed`] |
+//! | Does a failure speak against its target? | [`failure_source`] |
 //! | Is a peer alive? | [`liveness`] |
 //! | Which hosts is a peer told? | [`membership`] |
 //! | Who may start what until when? | [`leases`], [`heartbeat_intervals`] |
@@ -33,6 +34,7 @@
 pub mod congestion;
 pub mod contention;
 pub mod draining;
+pub mod failure_source;
 pub mod giving_up;
 pub mod heartbeat_intervals;
 pub mod leases;
--- a/crates/dispatcher-core/src/rules/target_health.rs
+++ b/crates/dispatcher-core/src/rules/target_health.rs
@@ -13,7 +13,8 @@
 //!   `OVERRUN_MS`: it is stopped and tried elsewhere.
 //! - Where running times are learned, [`super::target_speed`] says how slow it is instead, and
 //!   [`super::running_time`] what overruns: neither restricts it to one task, and it is suspended
-//!   for such an attempt only if no other one has ended well there since it began.
+//!   for such an attempt only if no other one has ended well there since it began. Failures
+//!   count then as [`super::failure_source`] says.
 //!
 //! **Inputs.** Replies, ends of attempts, estimates in ms. **Measured**, worth of played
 //! days of one trouble each: two misses instead of one, and overdue attempts as slowdown,
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -70,7 +70,9 @@
                 AttemptOutcome::Done
             }
             ListedOutcome::Failed => {
-                self.health.failed(now);
+                if self.learned.is_none() {
+                    self.health.failed(now);
+                }
                 AttemptOutcome::Failed
             }
             ListedOutcome::Ended | ListedOutcome::Unknown => AttemptOutcome::Lost,
--- a/crates/dispatcher-core/src/targets/learned.rs
+++ b/crates/dispatcher-core/src/targets/learned.rs
@@ -1,7 +1,8 @@
 //! What this host learns of running times from the ends on its targets, and what it
 //! expects of attempts that still run.
 //!
-//! Owns the running times of each kind of task ([`crate::rules::running_time`]), and a speed for
+//! Owns the running times of each kind of task ([`crate::rules::running_time`]) and where it
+//! failed ([`crate::rules::failure_source`]), and a speed for
 //! each target ([`crate::rules::target_speed`]), which stays with the target while other
 //! hosts hold it and is forgotten with its life. Ends count for whichever owner the attempt ran.
 //! Nothing of this is told to other hosts: a new holder begins with what it knows itself.
@@ -14,12 +15,13 @@
 use crate::decision::{Decision, EndEvidence};
 use crate::event::TargetEntry;
 use crate::message::{AttemptId, AttemptOutcome};
+use crate::rules::failure_source::RecentEnds;
 use crate::rules::running_time::{usable_estimate_ms, RunningTimes, TaskKind};
 use crate::rules::target_speed::{common, Running, Slowdown, TargetSpeed};
 use crate::settings::{RunningTimes as Way, Settings};
 use crate::Millis;
 
-use super::attempt::{Attempt, EndReport, Forecast, MeasuredTask};
+use super::attempt::{Attempt, EndReport, Forecast};
 use super::target::Target;
 use super::TargetLeases;
 
@@ -37,10 +39,17 @@
 /// A target's speed is logged when it is so sure.
 const TOLD_CERTAINTY: f64 = 0.5;
 
-/// The running times of the kinds of tasks that ran on this host's targets.
+/// What is known of a kind of task.
+#[derive(Debug)]
+struct KnownKind {
+    times: RunningTimes,
+    ends: RecentEnds,
+}
+
+/// What is known of the kinds of tasks that ran on this host's targets.
 #[derive(Debug)]
 pub(super) struct LearnedTimes {
-    kinds: HashMap<TaskKind, RunningTimes>,
+    kinds: HashMap<TaskKind, KnownKind>,
     /// What stands in for a kind that had no end yet.
     unknown: RunningTimes,
     /// What is common to all targets' slowdowns.
@@ -90,15 +99,19 @@
     }
 
     fn times(&self, kind: &TaskKind) -> &RunningTimes {
-        self.kinds.get(kind).unwrap_or(&self.unknown)
+        let known = self.kinds.get(kind);
+        known.map_or(&self.unknown, |known| &known.times)
     }
 
-    fn times_mut(&mut self, now: Millis, kind: &TaskKind) -> Option<&mut RunningTimes> {
+    fn kind_mut(&mut self, now: Millis, kind: &TaskKind) -> Option<&mut KnownKind> {
         if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(kind) {
             return None;
         }
-        let times = self.kinds.entry(kind.clone());
-        Some(times.or_insert_with(|| RunningTimes::new(now)))
+        let known = self.kinds.entry(kind.clone());
+        Some(known.or_insert_with(|| KnownKind {
+            times: RunningTimes::new(now),
+            ends: RecentEnds::default(),
+        }))
     }
 
     /// Returns how long a task takes on an ordinary target at a ratio of 1, in ms.
@@ -109,29 +122,35 @@
 
     /// Takes an end of an attempt in that is done. The kind learns what is left once the target's
     /// slowdown is taken out, the target what its task's kind doesn't explain.
-    fn done(
-        &mut self,
-        now: Millis,
-        learned: &mut LearnedSpeed,
-        took_ms: Millis,
-        task: &MeasuredTask,
-    ) {
-        let ratio = took_ms as f64 / self.scale_ms(task.estimate_ms, task.is_far);
+    fn done(&mut self, now: Millis, learned: &mut LearnedSpeed, report: &EndReport) {
+        let task = &report.task;
+        let ratio = report.took_ms as f64 / self.scale_ms(task.estimate_ms, task.is_far);
         let before = learned.speed.slowdown(now, std::iter::empty());
         learned.speed.ended(now, self.times(&task.kind), ratio);
         learned.last_done = now;
         let beside_others = before.factor / self.common;
-        if let Some(times) = self.times_mut(now, &task.kind) {
-            times.ended(now, ratio / beside_others);
+        if let Some(kind) = self.kind_mut(now, &task.kind) {
+            kind.times.ended(now, ratio / beside_others);
+            kind.ends.record(now, &report.end.target, false);
         }
     }
 
+    /// Takes a failed attempt in; returns whether it speaks against its target.
+    fn failed(&mut self, now: Millis, report: &EndReport) -> bool {
+        let target = &report.end.target;
+        let kind = self.kind_mut(now, &report.task.kind);
+        kind.is_none_or(|kind| {
+            kind.ends.record(now, target, true);
+            kind.ends.blames(now, target)
+        })
+    }
+
     /// Takes in that an attempt is stopped since it took too long.
     pub(super) fn outlived(&mut self, now: Millis, attempt: &Attempt, slowdown: f64) {
         let run_ms = now.saturating_sub(attempt.started) as f64;
         let scale_ms = self.scale_ms(attempt.estimate_ms, attempt.is_far);
-        if let Some(times) = self.times_mut(now, &attempt.kind) {
-            times.outlived(now, run_ms / scale_ms / slowdown);
+        if let Some(kind) = self.kind_mut(now, &attempt.kind) {
+            kind.times.outlived(now, run_ms / scale_ms / slowdown);
         }
     }
 
@@ -185,18 +204,18 @@
         self.next_told = now + KIND_TOLD_MS;
         self.forget_kinds(now);
         let recent = self.kinds.iter();
-        let recent = recent.filter(|(_, times)| times.last_end() + KIND_TOLD_MS > now);
+        let recent = recent.filter(|(_, known)| known.times.last_end() + KIND_TOLD_MS > now);
         let mut told: Vec<_> = recent.collect();
         told.sort_by_key(|(kind, _)| *kind);
         told.into_iter()
-            .map(|(kind, times)| task_times(kind, times))
+            .map(|(kind, known)| task_times(kind, &known.times))
             .collect()
     }
 
     /// Forgets kinds that had no end for long.
     fn forget_kinds(&mut self, now: Millis) {
         self.kinds
-            .retain(|_, times| times.last_end() + KIND_FORGOTTEN_MS > now);
+            .retain(|_, known| known.times.last_end() + KIND_FORGOTTEN_MS > now);
     }
 }
 
@@ -284,11 +303,14 @@
         let Some(learned) = &mut target.learned else {
             return;
         };
-        let done = reports.iter().filter(|report| {
-            report.by == EndEvidence::Listed && report.end.outcome == AttemptOutcome::Done
-        });
-        for report in done {
-            times.done(now, learned, report.took_ms, &report.task);
+        let listed = reports.iter();
+        let listed = listed.filter(|report| report.by == EndEvidence::Listed);
+        for report in listed {
+            match report.end.outcome {
+                AttemptOutcome::Done => times.done(now, learned, report),
+                AttemptOutcome::Failed if times.failed(now, report) => target.health.failed(now),
+                AttemptOutcome::Failed | AttemptOutcome::Lost | AttemptOutcome::StaleAttempt => {}
+            }
         }
     }
 
