--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -13,8 +13,8 @@
 use crate::event::SendFailure;
 use crate::jobs::WaitingTask;
 use crate::message::{
-    core_ms, AttemptEnd, AttemptId, AttemptOutcome, HandedTask, HolderLoad, PoolLoad, Priority,
-    Reply, ReplyBody, Request, TaskOrder, WaitingWork,
+    AttemptEnd, AttemptId, AttemptOutcome, HandedTask, HolderLoad, PoolLoad, Priority, Reply,
+    ReplyBody, Request, TaskOrder, WaitingWork,
 };
 use crate::rules::backlog::{keeps, patience_ms, ROOM_TOLD_MS};
 use crate::rules::hall_load::expected_wait_ms;
@@ -404,7 +404,7 @@
 /// Counts a task among those that wait.
 fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
     load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
-    let core_ms = core_ms(needed.cpu, estimate_ms);
+    let core_ms = needed.core_ms(estimate_ms);
     match load.waiting.iter_mut().find(|work| work.urgency == urgency) {
         Some(work) => {
             work.tasks += 1;
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -103,16 +103,10 @@
     /// Returns the processor time that it is expected to take, in core-ms.
     #[must_use]
     pub fn core_ms(&self) -> u64 {
-        core_ms(self.resources.cpu, self.estimate_ms)
+        self.resources.core_ms(self.estimate_ms)
     }
 }
 
-/// Returns the processor time in core-ms of `cpu` thousandths of a core used for `ms`.
-#[must_use]
-pub fn core_ms(cpu: u32, ms: Millis) -> u64 {
-    u64::from(cpu) * ms / 1_000
-}
-
 /// What decides first between waiting tasks, the first variant before the
 /// others; see `rules::priority`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -20,6 +20,9 @@
 //! | How much is said on a full link? | [`congestion`] |
 //! | Who reads the platform's store? | [`store_readers`] |
 //! | Does an attempt stand still? | [`progress`] |
+//! | How long will a task run? | [`running_time`] |
+//! | How slow is a target? | [`target_speed`] |
+//! | Does a failure speak against its target? | [`failure_source`] |
 //! | Is a peer alive? | [`liveness`] |
 //! | Which hosts is a peer told? | [`membership`] |
 //! | Who may start what until when? | [`leases`], [`heartbeat_intervals`] |
@@ -35,6 +38,7 @@
 pub mod congestion;
 pub mod contention;
 pub mod draining;
+pub mod failure_source;
 pub mod giving_up;
 pub mod hall_load;
 pub mod heartbeat_intervals;
@@ -47,8 +51,10 @@
 pub mod priority;
 pub mod progress;
 pub mod retry;
+pub mod running_time;
 pub mod shares;
 pub mod store_readers;
 pub mod target_choice;
 pub mod target_health;
+pub mod target_speed;
 pub mod waiting_order;
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -14,6 +14,10 @@
 /// The longest specification, in bytes: the platform's bound.
 pub const MAX_SPECIFICATION: usize = 4_000;
 
+/// No estimate of a running time counts as longer than this, in ms: sums of many stay far below
+/// what a clock's time can hold.
+pub const LONGEST_ESTIMATE_MS: Millis = 86_400_000;
+
 /// Resources of a target: what it has, what is free, what a task takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
@@ -32,6 +36,12 @@
         need.cpu <= self.cpu && need.memory_mb <= self.memory_mb && need.gpus <= self.gpus
     }
 
+    /// Returns the processor time that they do in so many ms, in core-ms.
+    #[must_use]
+    pub fn core_ms(&self, ms: Millis) -> u64 {
+        u64::from(self.cpu) * ms / 1_000
+    }
+
     /// Returns what is left without `need`, 0 where there isn't so much.
     #[must_use]
     pub fn minus(&self, need: &Self) -> Self {
@@ -146,12 +156,18 @@
     #[must_use]
     pub fn core_ms(&self) -> u64 {
         let steps = self.steps.iter();
-        let work = steps.map(|step| {
-            u64::from(step.count) * u64::from(step.resources.cpu) * step.estimate_ms / 1_000
-        });
+        let work =
+            steps.map(|step| u64::from(step.count) * step.resources.core_ms(step.estimate_ms));
         work.sum()
     }
 
+    /// Bounds what the caller says of running times; see [`LONGEST_ESTIMATE_MS`].
+    pub fn bound_estimates(&mut self) {
+        for step in &mut self.steps {
+            step.estimate_ms = step.estimate_ms.min(LONGEST_ESTIMATE_MS);
+        }
+    }
+
     /// Checks what doesn't depend on targets.
     ///
     /// # Errors
