--- a/crates/dispatcher-core/tests/backlog.rs
+++ b/crates/dispatcher-core/tests/backlog.rs
@@ -172,7 +172,7 @@
 
 case!(a_host_that_stops_gives_back_what_waits, {
     let (mut rig, _) = full_holder();
-    rig.event(Event::Stop);
+    rig.event(Event::Stop { age_ms: 0 });
     assert_eq!(given_back(&mut rig), ["b.0.0.0"]);
 });
 
