--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -8,8 +8,9 @@
 use gannetridge_dispatcher_core::event::TargetChange;
 use gannetridge_dispatcher_core::message::{
     AttemptEnd, AttemptId, AttemptOutcome, Demand, DrainingNews, EchoedClock, Envelope,
-    FreeResources, Heartbeat, HeartbeatReply, HostInfo, ListNews, PlatformNewsReply, Priority,
-    PriorityClass, Reply, ReplyBody, Request, SpreadLimit, StoreNewsReply, TaskOrder,
+    FreeResources, HandedTask, Heartbeat, HeartbeatReply, HolderLoad, HostInfo, ListNews,
+    PlatformNewsReply, PoolLoad, Priority, PriorityClass, Reply, ReplyBody, Request, SpreadLimit,
+    StoreNewsReply, TargetRoom, TaskOrder, WaitingWork,
 };
 use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_wire::codec;
@@ -113,12 +114,42 @@
     }
 }
 
+fn handed_task() -> HandedTask {
+    HandedTask {
+        order: plain_order(),
+        queue: "queue-1".into(),
+        priority: demand(PriorityClass::OnTime).priority,
+        latest_begin: 4_400,
+    }
+}
+
+fn load() -> HolderLoad {
+    HolderLoad {
+        room: vec![TargetRoom {
+            target: "target-7".into(),
+            free: resources(700),
+        }],
+        pools: vec![PoolLoad {
+            pool: "pool-1".into(),
+            capacity_cpu: 16_000,
+            used_cpu: 15_300,
+            queue_cpu: 4_000,
+            waiting: vec![WaitingWork {
+                urgency: 2,
+                tasks: 3,
+                core_ms: 1_440,
+            }],
+        }],
+    }
+}
+
 fn ends() -> Vec<AttemptEnd> {
     [
         AttemptOutcome::Done,
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
+        AttemptOutcome::NotBegun,
     ]
     .into_iter()
     .map(|outcome| AttemptEnd {
@@ -195,6 +226,8 @@
     request_want_late: ask(Request::Demand(Some(demand(PriorityClass::Late))));
     request_want_worthless: ask(Request::Demand(Some(demand(PriorityClass::Worthless))));
     request_no_want: ask(Request::Demand(None));
+    request_hand_over: ask(Request::HandOver(vec![handed_task()]));
+    request_room: ask(Request::Room(load()));
     request_offer: ask(Request::Reservation(free()));
     request_stop: ask(Request::Stop { keys: vec![key()], report: true });
     request_ended: ask(Request::Ended(ends()));
@@ -214,6 +247,11 @@
         hosts: vec![host("host-a"), host("host-b")],
     }));
     reply_placed: reply(ReplyBody::Placed(vec![0, 2]));
+    reply_handed_over: reply(ReplyBody::HandedOver { started: vec![0], waiting: vec![1, 2] });
+    reply_with_load: reply(ReplyBody::WithLoad {
+        load: load(),
+        body: Box::new(ReplyBody::Acknowledged),
+    });
     reply_interested: reply(ReplyBody::Interested(true));
     reply_queues: reply(ReplyBody::Configuration(Some(queues())));
     reply_no_queues: reply(ReplyBody::Configuration(None));
