--- a/crates/dispatcher-core/src/rules/holder_choice.rs
+++ b/crates/dispatcher-core/src/rules/holder_choice.rs
@@ -4,13 +4,12 @@
 //! room, and its running time, which is longer on targets far from its data. Each holder
 //! counts twice, with its targets near the data and with the others, so that a task waits
 //! for a near target as long as that ends sooner than running far, and one that can't wait
-//! so long spills over first. A holder of another hall has to be better by
-//! [`OTHER_HALL_MS`] and a part of its own wait. Of news that are older than
-//! [`FRESH_NEWS_MS`] only a part counts; for the rest the holder is taken for one like
-//! those of which there are fresh news. Among holders whose ends differ by less than their
-//! news may have changed, the task's name picks one, each in proportion to what it may be
-//! handed. A holder where the task isn't expected to begin in time is left out, by what was
-//! last heard there.
+//! so long spills over first. A holder of another hall has to be better by a few ms and a
+//! part of its own wait. Of old news only a part counts; for the rest the holder is taken
+//! for one like those of which there are fresh news. Among holders whose ends differ by less
+//! than their news may have changed, the task's name picks one, each in proportion to what
+//! it may be handed. A holder where the task isn't expected to begin in time is left out, by
+//! what was last heard there.
 //!
 //! **Inputs.** For each holder what was last heard, less what was handed over since; the
 //! task's running time on an ordinary target near its data and the time until its latest
--- a/crates/dispatcher-core/tests/support/holders.rs
+++ b/crates/dispatcher-core/tests/support/holders.rs
@@ -144,7 +144,10 @@
     ends.retain(|end| *end > now);
     queue.sort_by_key(|task| std::cmp::Reverse(task.asked_at + task.may_wait_ms));
     let mut begun = Vec::new();
-    while let Some(mut task) = queue.pop_if(|_| (ends.len() as i64) < slots) {
+    while (ends.len() as i64) < slots {
+        let Some(mut task) = queue.pop() else {
+            break;
+        };
         if now - task.asked_at <= task.may_wait_ms {
             let took = rng.random_range(RUNNING_MS / 2..=RUNNING_MS * 3 / 2) as f64;
             let slowdown = if task.is_far() { FAR_SLOWDOWN } else { 1.0 };
