--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -11,8 +11,7 @@
 //! Urgencies have no shares but a least one: an urgency that used less than [`LEAST_SHARE`] of
 //! what was started lately is due before more urgent ones, so that it isn't starved. The next
 //! task of `core_ms` waits until the use that was counted for the earlier ones has decayed: at
-//! most `HALF_LIFE_MS * log2(core_ms / (LEAST_SHARE * all))`, and not at all where that is
-//! negative.
+//! most `HALF_LIFE_MS * log2(1 + core_ms / (LEAST_SHARE * all))`.
 //!
 //! **Inputs.** Processor time of started tasks by estimate in core-ms, time in ms, weights.
 //! **Reason.** A queue or a hall that sends more than its share makes only its own callers
--- a/crates/dispatcher-core/tests/support/room.rs
+++ b/crates/dispatcher-core/tests/support/room.rs
@@ -201,29 +201,144 @@
     }
 }
 
-/// What the holder tells of its slots and of what waits.
-fn holder_load(jobs: &BTreeMap<usize, Job<'_>>, used: u32, slots: u32) -> PoolLoad {
-    let mut waiting: BTreeMap<u8, WaitingWork> = BTreeMap::new();
-    for job in jobs.values() {
-        let work = waiting.entry(job.load.urgency).or_insert(WaitingWork {
-            urgency: job.load.urgency,
-            tasks: 0,
-            core_ms: 0,
+/// A holder's slots, and the jobs that compete for them.
+struct Room<'a> {
+    slots: u32,
+    ways: Ways,
+    jobs: BTreeMap<usize, Job<'a>>,
+    /// When tasks end, and their jobs.
+    running: Vec<(Millis, usize, &'a Load)>,
+    long: LongTasks,
+    outcome: Outcome,
+}
+
+impl<'a> Room<'a> {
+    fn cpu(&self) -> u32 {
+        self.slots * SLOT_CPU
+    }
+
+    fn free(&self) -> u32 {
+        self.slots - self.running.len() as u32
+    }
+
+    fn end(&mut self, now: Millis) {
+        let running = std::mem::take(&mut self.running);
+        let (ended, running) = running.into_iter().partition(|(end, ..)| *end == now);
+        self.running = running;
+        let ended: Vec<(Millis, usize, &Load)> = ended;
+        for (_, id, load) in ended {
+            let job = self.jobs.get_mut(&id).unwrap();
+            job.left -= 1;
+            if job.left == 0 {
+                let on_time = now - job.arrived <= load.objective_ms();
+                self.outcome.of(load).on_time += f64::from(on_time);
+                self.outcome.of(load).late += f64::from(!on_time);
+                self.jobs.remove(&id);
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Millis, id: usize, load: &'a Load) {
+        self.outcome.of(load).jobs += 1.0;
+        for _ in 0..load.tasks {
+            let slack_ms = load.objective_ms() - load.task_ms;
+            self.long.arrived(now, &load.task(), slack_ms);
+        }
+        let job = Job {
+            load,
+            queue: load.queue.into(),
+            hall: load.hall.into(),
+            arrived: now,
+            waiting: load.tasks,
+            left: load.tasks,
+        };
+        if !self.ways.refusing || job.is_taken(self.free() > 0, &self.load()) {
+            self.jobs.insert(id, job);
+        }
+    }
+
+    /// What the holder tells of its slots and of what waits.
+    fn load(&self) -> PoolLoad {
+        let mut waiting: BTreeMap<u8, WaitingWork> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let work = waiting.entry(job.load.urgency).or_insert(WaitingWork {
+                urgency: job.load.urgency,
+                tasks: 0,
+                core_ms: 0,
+            });
+            work.tasks += job.waiting;
+            work.core_ms += u64::from(job.waiting) * job.load.core_ms();
+        }
+        PoolLoad {
+            pool: "pool".into(),
+            capacity_cpu: self.cpu(),
+            used_cpu: self.cpu() - self.free() * SLOT_CPU,
+            queue_cpu: 0,
+            waiting: waiting.into_values().collect(),
+        }
+    }
+
+    fn give_up(&mut self, now: Millis) {
+        for job in self.jobs.values().filter(|job| job.is_worthless(now)) {
+            self.outcome.of(job.load).in_vain_ms += (now - job.arrived) as f64;
+        }
+        self.jobs.retain(|_, job| !job.is_worthless(now));
+    }
+
+    /// The jobs with waiting tasks, a task of each.
+    fn waiting(&self, now: Millis) -> Vec<(usize, Waiting<'_>)> {
+        let mut begun_core_ms = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.begun()) {
+            let core_ms = u64::from(job.waiting) * job.load.core_ms();
+            *begun_core_ms.entry(job.load.urgency).or_insert(0) += core_ms;
+        }
+        let room_cpu = if self.ways.units {
+            self.cpu()
+        } else {
+            u32::MAX
+        };
+        let waiting = self.jobs.iter().filter(|(_, job)| job.waiting > 0);
+        let waiting = waiting.map(|(id, job)| {
+            let before = begun_core_ms.range(..=job.load.urgency);
+            let before = before.map(|(_, core_ms)| core_ms).sum();
+            (*id, job.waiting(now, room_cpu, before))
         });
-        work.tasks += job.waiting;
-        work.core_ms += u64::from(job.waiting) * job.load.core_ms();
+        waiting.collect()
     }
-    PoolLoad {
-        pool: "pool".into(),
-        capacity_cpu: slots * SLOT_CPU,
-        used_cpu: used * SLOT_CPU,
-        queue_cpu: 0,
-        waiting: waiting.into_values().collect(),
+
+    /// Starts the task that goes first; returns whether there was one.
+    fn start_first(&mut self, now: Millis) -> bool {
+        if self.free() == 0 {
+            return false;
+        }
+        let (mut shares, mut long) = (self.ways.shares.clone(), self.long.clone());
+        let waiting = self.waiting(now);
+        let counting = waiting.iter().filter(|(_, task)| task.counts());
+        shares.advance(now, counting.map(|(_, task)| task.origin));
+        let held = self.running.iter().map(|(.., load)| load.task());
+        let able = waiting.iter().filter(|(id, _)| {
+            let task = self.jobs[id].load.task();
+            let may_start = long.may_start(now, &task, self.cpu(), held.clone());
+            may_start || !self.ways.bounded
+        });
+        let first = able.min_by(|(_, a), (_, b)| (self.ways.order)(a, b, &shares));
+        let Some((id, task)) = first else {
+            let idle = if waiting.is_empty() { 0 } else { self.free() };
+            self.outcome.idle_slot_ms += f64::from(idle);
+            return false;
+        };
+        let (id, load) = (*id, self.jobs[id].load);
+        shares.started(now, &task.origin, load.core_ms());
+        self.ways.shares = shares;
+        self.outcome.of(load).slot_ms += load.task_ms as f64;
+        self.jobs.get_mut(&id).unwrap().waiting -= 1;
+        self.running.push((now + load.task_ms, id, load));
+        true
     }
 }
 
 /// Plays loads on `slots` for `ms`.
-pub fn play(seed: u64, slots: u32, ms: Millis, loads: &[Load], mut ways: Ways) -> Outcome {
+pub fn play(seed: u64, slots: u32, ms: Millis, loads: &[Load], ways: Ways) -> Outcome {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut arrivals: Vec<(Millis, &Load)> = Vec::new();
     for load in loads {
@@ -231,79 +346,21 @@
     }
     arrivals.sort_by_key(|(at, _)| *at);
     let mut arrivals = arrivals.into_iter().enumerate().peekable();
-    let mut jobs: BTreeMap<usize, Job<'_>> = BTreeMap::new();
-    let mut running: Vec<(Millis, usize, &Load)> = Vec::new();
-    let (mut long, mut outcome) = (LongTasks::default(), Outcome::default());
-    let room_cpu = slots * SLOT_CPU;
+    let mut room = Room {
+        slots,
+        ways,
+        jobs: BTreeMap::new(),
+        running: Vec::new(),
+        long: LongTasks::default(),
+        outcome: Outcome::default(),
+    };
     for now in 0..ms {
-        for (_, id, load) in running.extract_if(.., |(end, ..)| *end == now) {
-            let job = jobs.get_mut(&id).unwrap();
-            job.left -= 1;
-            if job.left == 0 {
-                let on_time = now - job.arrived <= load.objective_ms();
-                outcome.of(load).on_time += f64::from(on_time);
-                outcome.of(load).late += f64::from(!on_time);
-                jobs.remove(&id);
-            }
-        }
-        while let Some((id, (arrived, load))) = arrivals.next_if(|(_, (at, _))| *at == now) {
-            outcome.of(load).jobs += 1.0;
-            for _ in 0..load.tasks {
-                long.arrived(now, &load.task(), load.objective_ms() - load.task_ms);
-            }
-            let job = Job {
-                load,
-                queue: load.queue.into(),
-                hall: load.hall.into(),
-                arrived,
-                waiting: load.tasks,
-                left: load.tasks,
-            };
-            let used = running.len() as u32;
-            if !ways.refusing || job.is_taken(used < slots, &holder_load(&jobs, used, slots)) {
-                jobs.insert(id, job);
-            }
-        }
-        for (_, job) in jobs.extract_if(.., |_, job| job.is_worthless(now)) {
-            outcome.of(job.load).in_vain_ms += (now - job.arrived) as f64;
-        }
-        loop {
-            let free = slots - running.len() as u32;
-            let mut begun_core_ms = BTreeMap::new();
-            for job in jobs.values().filter(|job| job.begun()) {
-                let core_ms = u64::from(job.waiting) * job.load.core_ms();
-                *begun_core_ms.entry(job.load.urgency).or_insert(0) += core_ms;
-            }
-            let waiting = jobs.iter().filter(|(_, job)| job.waiting > 0);
-            let waiting: Vec<(usize, Waiting<'_>)> = waiting
-                .map(|(id, job)| {
-                    let before = begun_core_ms.range(..=job.load.urgency);
-                    let room_cpu = if ways.units { room_cpu } else { u32::MAX };
-                    (
-                        *id,
-                        job.waiting(now, room_cpu, before.map(|(_, core_ms)| core_ms).sum()),
-                    )
-                })
-                .collect();
-            let counting = waiting.iter().filter(|(_, task)| task.counts());
-            ways.shares
-                .advance(now, counting.map(|(_, task)| task.origin));
-            let held = running.iter().map(|(.., load)| load.task());
-            let able = waiting.iter().filter(|(id, _)| {
-                let task = jobs[id].load.task();
-                free > 0 && (!ways.bounded || long.may_start(now, &task, room_cpu, held.clone()))
-            });
-            let first = able.min_by(|(_, a), (_, b)| (ways.order)(a, b, &ways.shares));
-            let Some((id, task)) = first else {
-                outcome.idle_slot_ms += f64::from(if waiting.is_empty() { 0 } else { free });
-                break;
-            };
-            let (id, load) = (*id, jobs[id].load);
-            ways.shares.started(now, &task.origin, load.core_ms());
-            outcome.of(load).slot_ms += load.task_ms as f64;
-            jobs.get_mut(&id).unwrap().waiting -= 1;
-            running.push((now + load.task_ms, id, load));
+        room.end(now);
+        while let Some((id, (_, load))) = arrivals.next_if(|(_, (at, _))| *at == now) {
+            room.arrive(now, id, load);
         }
+        room.give_up(now);
+        while room.start_first(now) {}
     }
-    outcome
+    room.outcome
 }
