Forget the halls of queues that are gone

What halls of a queue had used was kept for good once the queue sent nothing more: memory grew with every queue that ever was. It is forgotten with the queue's own use. The test failed before (run), and passes now.

--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -78,6 +78,11 @@
         found.map_or(self.virtual_time, |(_, until)| until.max(self.virtual_time))
     }
 
+    /// Returns whether a name is further than the one that is least ahead.
+    fn is_ahead(&self, name: &Name) -> bool {
+        self.start_of(name) > self.virtual_time
+    }
+
     fn started(&mut self, name: &Name, cost: f64) {
         let until = self.start_of(name) + cost;
         match self.served.iter_mut().find(|(other, _)| other == name) {
@@ -118,6 +123,22 @@
     used: f64,
 }
 
+impl Level {
+    fn advance<'a>(&mut self, waiting: impl Iterator<Item = Origin<'a>> + Clone) {
+        let queues = waiting.clone().map(|origin| origin.queue);
+        self.queues.advance(queues.clone());
+        for (queue, halls) in &mut self.halls {
+            let of_queue = waiting.clone().filter(|origin| origin.queue == queue);
+            halls.advance(of_queue.map(|origin| origin.hall));
+        }
+        // What the halls of a queue used matters as long as the queue waits, or may soon.
+        let waits = |queue: &Name| queues.clone().any(|other| other == queue);
+        let ahead = &self.queues;
+        self.halls
+            .retain(|queue, _| ahead.is_ahead(queue) || waits(queue));
+    }
+}
+
 /// What queues and halls have used of the targets of one pool that a host holds.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
@@ -157,14 +178,7 @@
         self.decay(now);
         for (urgency, level) in &mut self.levels {
             let here = waiting.clone().filter(|origin| origin.urgency == *urgency);
-            level
-                .queues
-                .advance(here.clone().map(|origin| origin.queue));
-            for (queue, halls) in &mut level.halls {
-                let of_queue = here.clone().filter(|origin| origin.queue == queue);
-                halls.advance(of_queue.map(|origin| origin.hall));
-            }
-            level.halls.retain(|_, halls| !halls.served.is_empty());
+            level.advance(here);
         }
     }
 
--- a/crates/dispatcher-core/tests/shares.rs
+++ b/crates/dispatcher-core/tests/shares.rs
@@ -188,3 +188,19 @@
     shares.started(1_000, &origin(0), 10_000);
     assert!(shares.is_below_least(2));
 });
+
+case!(queues_that_are_gone_are_forgotten, {
+    let mut shares = Shares::default();
+    let stays = Sender::new("stays", "north", 1_000);
+    let size_after = |shares: &mut Shares, queues: u32| {
+        for number in 0..queues {
+            let gone = Sender::new(&format!("q{number}"), "north", 100);
+            shares.started(0, &gone.origin(), gone.core_ms);
+            shares.started(0, &stays.origin(), stays.core_ms);
+            shares.advance(0, [stays.origin()].into_iter());
+        }
+        format!("{shares:?}").len()
+    };
+    let few = size_after(&mut shares, 10);
+    assert!(size_after(&mut shares, 1_000) < 2 * few);
+});
