--- a/crates/dispatcher-core/src/backlog.rs
+++ b/crates/dispatcher-core/src/backlog.rs
@@ -8,6 +8,7 @@
 
 use crate::message::{AttemptId, HandedTask, Priority, PriorityClass};
 use crate::rules::backlog::MOST_HANDED;
+use crate::rules::long_tasks::TaskSize;
 use crate::rules::peer_choice::aged;
 use crate::rules::shares::Origin;
 use crate::targets::{Owner, OwnerSession};
@@ -37,6 +38,16 @@
         }
     }
 
+    /// Returns its size.
+    #[must_use]
+    pub fn size(&self) -> TaskSize {
+        TaskSize {
+            urgency: self.task.priority.urgency,
+            cpu: self.task.order.resources.cpu,
+            estimate_ms: self.task.order.estimate_ms,
+        }
+    }
+
     /// Returns its priority by now.
     #[must_use]
     pub fn priority(&self, now: Millis) -> Priority {
--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -18,9 +18,10 @@
 };
 use crate::rules::backlog::{keeps, patience_ms, ROOM_TOLD_MS};
 use crate::rules::hall_load::expected_wait_ms;
+use crate::rules::long_tasks::TaskSize;
 use crate::rules::shares::Origin;
 use crate::rules::target_choice::NotFound;
-use crate::rules::waiting_order::{compare, Waiting};
+use crate::rules::waiting_order::{Line, Waiting};
 use crate::settings::WaitingOrder;
 use crate::spec::Resources;
 use crate::targets::{Owner, OwnerSession, Reach};
@@ -120,11 +121,9 @@
         if waiting.iter().any(|next| matches!(next, Next::Own(_))) {
             pass.own_loads = self.pool_loads(now);
         }
-        for next in waiting {
-            match next {
-                Next::Own(task) => self.place_own(now, &mut pass, task),
-                Next::Handed(_, handed) => self.place_handed(now, &mut pass, &handed),
-            }
+        match self.settings.scheduling.order {
+            WaitingOrder::Class => self.place_by_class(now, &mut pass, waiting),
+            WaitingOrder::Shares => self.place_by_shares(now, &mut pass, &waiting),
         }
         self.send_batches(now, std::mem::take(&mut pass.batches));
         self.advertise(now, &pass.left);
@@ -133,29 +132,58 @@
         }
     }
 
-    /// Returns the tasks that wait here in the order in which they are looked at.
-    fn waiting_here(&mut self, now: Millis) -> Vec<Next> {
+    /// Returns the tasks that wait here: this host's callers' first, by priority.
+    fn waiting_here(&self, now: Millis) -> Vec<Next> {
         let own = self.jobs.waiting(now, MAX_SCHEDULED);
         let own = own.into_iter().map(Next::Own);
         let handed = self.backlog.iter();
         let handed = handed.map(|handed| Next::Handed(handed.priority(now), handed.clone()));
-        let mut waiting: Vec<Next> = own.chain(handed).collect();
-        match self.settings.scheduling.order {
-            WaitingOrder::Class => waiting.sort_by(|a, b| {
-                let order = a.priority().partial_cmp(b.priority());
-                order.unwrap_or(Ordering::Equal)
-            }),
-            WaitingOrder::Shares => {
-                let own_hall = &self.own.hall;
-                let origins = waiting.iter().map(|next| next.origin(own_hall));
-                self.shares.advance(now, origins);
-                let shares = &self.shares;
-                waiting.sort_by(|a, b| {
-                    compare(&a.as_waiting(own_hall), &b.as_waiting(own_hall), shares)
-                });
-            }
+        own.chain(handed).collect()
+    }
+
+    fn place_by_class(&mut self, now: Millis, pass: &mut Pass, mut waiting: Vec<Next>) {
+        waiting.sort_by(|a, b| {
+            let order = a.priority().partial_cmp(b.priority());
+            order.unwrap_or(Ordering::Equal)
+        });
+        for next in &waiting {
+            self.place_next(now, pass, next);
+        }
+    }
+
+    /// Places tasks by urgency and shares; who is due changes with each start.
+    fn place_by_shares(&mut self, now: Millis, pass: &mut Pass, waiting: &[Next]) {
+        let own_hall = self.own.hall.clone();
+        let mut line = Line::new(waiting.iter().map(|next| next.as_waiting(&own_hall)));
+        self.shares.advance(now, line.origins());
+        while let Some(position) = line.take_first(&self.shares, |_| true) {
+            self.place_next(now, pass, &waiting[position]);
+        }
+    }
+
+    fn place_next(&mut self, now: Millis, pass: &mut Pass, next: &Next) {
+        match next {
+            Next::Own(task) => self.place_own(now, pass, task.clone()),
+            Next::Handed(_, handed) => self.place_handed(now, pass, handed),
+        }
+    }
+
+    /// Counts a task that a peer handed over among those for which room may be kept free.
+    fn count_arrival(&mut self, now: Millis, size: &TaskSize, task: &HandedTask) {
+        let slack_ms = Millis::try_from(task.priority.slack_ms).unwrap_or(0);
+        self.long_tasks.arrived(now, size, slack_ms);
+    }
+
+    /// Returns whether a task, if it is long, leaves the room that is kept for shorter and more
+    /// urgent ones.
+    pub(super) fn leaves_room(&mut self, now: Millis, size: &TaskSize, pool: &Name) -> bool {
+        if self.settings.scheduling.order == WaitingOrder::Class {
+            return true;
         }
-        waiting
+        let running = self.targets.running_sizes(now, pool);
+        let capacity_cpu = running.capacity_cpu;
+        let sizes = running.sizes.iter().copied();
+        self.long_tasks.may_start(now, size, capacity_cpu, sizes)
     }
 
     /// Counts a task that was started here for the shares of its queue and hall.
@@ -169,7 +197,11 @@
     fn place_handed(&mut self, now: Millis, pass: &mut Pass, handed: &Handed) {
         let needed = handed.task.order.resources;
         let here = pass.may_start_here(&needed, |r| self.targets.may_fit(now, r));
-        if here && self.start_handed(now, handed) {
+        let size = handed.size();
+        if here
+            && self.leaves_room(now, &size, &handed.task.order.pool)
+            && self.start_handed(now, handed)
+        {
             self.backlog.take(&handed.task.order.id);
         }
     }
@@ -185,7 +217,10 @@
             } else {
                 Reach::Anywhere
             };
-        let started = self.targets.start(now, &handed.owner, order, reach);
+        let urgency = handed.task.priority.urgency;
+        let started = self
+            .targets
+            .start(now, &handed.owner, order, reach, urgency);
         if started {
             self.count_start(now, &handed.origin(), order);
         }
@@ -222,7 +257,9 @@
             if !self.may_take(now, &handed) {
                 continue;
             }
-            if self.start_handed(now, &handed) {
+            self.count_arrival(now, &handed.size(), &handed.task);
+            let leaves_room = self.leaves_room(now, &handed.size(), &handed.task.order.pool);
+            if leaves_room && self.start_handed(now, &handed) {
                 started.push(position as u32);
             } else if self.keep(now, handed) {
                 waiting.push(position as u32);
--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -33,6 +33,7 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
+        let here = here && self.leaves_room(now, &task.size(), &order.pool);
         if here && self.start_own(now, &task, &order, Reach::Near) {
             return;
         }
@@ -77,8 +78,13 @@
         order: &TaskOrder,
         reach: Reach,
     ) -> bool {
-        let started = self.targets.start(now, &self.as_owner(), order, reach);
+        let urgency = task.priority.urgency;
+        let started = self
+            .targets
+            .start(now, &self.as_owner(), order, reach, urgency);
         if started {
+            let slack_ms = Millis::try_from(task.priority.slack_ms).unwrap_or(0);
+            self.long_tasks.arrived(now, &task.size(), slack_ms);
             let own_hall = self.own.hall.clone();
             self.count_start(now, &task.origin(&own_hall), order);
             self.jobs.started_here(now, &task.job, task.index);
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -31,6 +31,7 @@
 use crate::rules::congestion::OwnDelay;
 use crate::rules::draining::DrainingHalls;
 use crate::rules::leases::Times;
+use crate::rules::long_tasks::LongTasks;
 use crate::rules::shares::Shares;
 use crate::rules::store_readers::Freshness;
 use crate::settings::{BoundsError, Settings};
@@ -75,6 +76,7 @@
     peers: Peers,
     backlog: Backlog,
     shares: Shares,
+    long_tasks: LongTasks,
     store_news: StoreNews,
     draining: DrainingHalls,
     /// How this host learns what the store holds, as last logged.
@@ -108,6 +110,7 @@
             peers: Peers::new(own.clone(), &settings.seeds, times),
             backlog: Backlog::default(),
             shares: Shares::default(),
+            long_tasks: LongTasks::default(),
             draining: DrainingHalls::default(),
             noted_reading: None,
             store_news: StoreNews::new(Freshness::new(settings.bounds.drain_ms)),
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -192,7 +192,7 @@
         let open = self.stopping.is_none();
         let mut started = Vec::new();
         for (position, order) in orders.iter().enumerate() {
-            if open && self.targets.start(now, &owner, order, Reach::Anywhere) {
+            if open && self.targets.start(now, &owner, order, Reach::Anywhere, 0) {
                 started.push(position as u32);
             }
         }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -126,7 +126,7 @@
         if here
             && self
                 .targets
-                .start(now, &self.as_owner(), &order, Reach::Anywhere)
+                .start(now, &self.as_owner(), &order, Reach::Anywhere, 0)
         {
             self.jobs.started_here(now, &task.job, task.index);
             return;
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -8,6 +8,7 @@
 use gannetridge_wire::Name;
 
 use crate::message::{Demand, Priority, PriorityClass, SpreadLimit, TaskOrder};
+use crate::rules::long_tasks::TaskSize;
 use crate::rules::shares::Origin;
 use crate::spec::Resources;
 use crate::Millis;
@@ -37,6 +38,16 @@
 }
 
 impl WaitingTask {
+    /// Returns its size.
+    #[must_use]
+    pub fn size(&self) -> TaskSize {
+        TaskSize {
+            urgency: self.priority.urgency,
+            cpu: self.resources.cpu,
+            estimate_ms: self.estimate_ms,
+        }
+    }
+
     /// Returns for whom it runs, where this host is in `own_hall`.
     #[must_use]
     pub fn origin<'a>(&'a self, own_hall: &'a Name) -> Origin<'a> {
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -5,6 +5,7 @@
 use crate::decision::EndEvidence;
 use crate::event::CallId;
 use crate::message::{AttemptEnd, Envelope, SpreadLimit, TaskOrder};
+use crate::rules::long_tasks::TaskSize;
 use crate::rules::progress::Progress;
 use crate::rules::running_time::TaskKind;
 use crate::rules::target_health::{RunningTime, TargetHealth};
@@ -68,6 +69,8 @@
     /// When its start was sent.
     pub(super) started: Millis,
     pub(super) estimate_ms: Millis,
+    /// The urgency of its queue; the most urgent where it isn't told.
+    pub(super) urgency: u8,
     /// What it has in common with others whose running times are learned together.
     pub(super) kind: TaskKind,
     /// Whether its data lies in another rack.
@@ -100,6 +103,7 @@
             resources: order.resources,
             started: now,
             estimate_ms: order.estimate_ms,
+            urgency: 0,
             spread: order.spread.as_ref().map(|limit| limit.step.clone()),
             confirmed: None,
             latest_begin,
@@ -110,6 +114,15 @@
         }
     }
 
+    /// Returns its size.
+    pub(super) fn size(&self) -> TaskSize {
+        TaskSize {
+            urgency: self.urgency,
+            cpu: self.resources.cpu,
+            estimate_ms: self.estimate_ms,
+        }
+    }
+
     /// Records that the target has it.
     pub(super) fn confirm(&mut self, now: Millis) {
         self.confirmed.get_or_insert(now);
--- a/crates/dispatcher-core/src/targets/room.rs
+++ b/crates/dispatcher-core/src/targets/room.rs
@@ -7,10 +7,12 @@
 
 use crate::message::{TargetRoom, TaskOrder};
 use crate::rules::backlog::HANDED_MS;
+use crate::rules::long_tasks::TaskSize;
 use crate::rules::target_choice;
 use crate::target_list::TargetEntry;
 use crate::Millis;
 
+use super::attempt::Attempt;
 use super::target::Target;
 use super::TargetLeases;
 
@@ -32,6 +34,15 @@
     pub soon_cpu: u32,
 }
 
+/// What this host's usable targets of one pool have, and what runs there.
+#[derive(Clone, Debug, Default)]
+pub struct RunningSizes {
+    /// Thousandths of a core that they have.
+    pub capacity_cpu: u32,
+    /// What runs there.
+    pub sizes: Vec<TaskSize>,
+}
+
 impl TargetLeases {
     /// Returns a target of the list.
     #[must_use]
@@ -71,6 +82,19 @@
         rooms
     }
 
+    /// Returns what the usable targets of a pool have, and what runs there.
+    #[must_use]
+    pub fn running_sizes(&self, now: Millis, pool: &Name) -> RunningSizes {
+        let mut running = RunningSizes::default();
+        let usable = self.usable_targets(now);
+        for target in usable.filter(|target| target.entry.pool == *pool) {
+            running.capacity_cpu += target.entry.capacity.cpu;
+            let sizes = target.attempts.values().map(Attempt::size);
+            running.sizes.extend(sizes);
+        }
+        running
+    }
+
     /// Returns whether a usable target could run a task, now or once it has the resources;
     /// with `near` only those near its data.
     #[must_use]
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -35,7 +35,16 @@
 
     /// Starts a task if a target has the resources for it; see [`target_choice`].
     /// Returns whether it did.
-    pub fn start(&mut self, now: Millis, owner: &Owner, order: &TaskOrder, reach: Reach) -> bool {
+    ///
+    /// `urgency` is that of the task's queue, as far as it is known.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        owner: &Owner,
+        order: &TaskOrder,
+        reach: Reach,
+        urgency: u8,
+    ) -> bool {
         if !self.may_begin(order) {
             return false;
         }
@@ -51,6 +60,8 @@
             return false;
         };
         self.start_on(now, &id, owner, order);
+        let target = self.targets.get_mut(&id).expect("the target was found");
+        target.set_urgency(&order.id, urgency);
         true
     }
 
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -206,6 +206,13 @@
         until
     }
 
+    /// Records the urgency of an attempt's queue.
+    pub(super) fn set_urgency(&mut self, id: &AttemptId, urgency: u8) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.urgency = urgency;
+        }
+    }
+
     /// Returns the end of a lease that is renewed now, on the target's clock, as
     /// early as that clock may show; none if the clock isn't known.
     pub(super) fn extend_lease(&mut self, now: Millis, times: &Times) -> Option<Millis> {
