--- a/crates/dispatcher-core/src/rules/arrival.rs
+++ b/crates/dispatcher-core/src/rules/arrival.rs
@@ -8,7 +8,7 @@
 //! their ids over as long again.
 //!
 //! Nothing is refused while a target that could run it has room, as this host knows, nor where
-//! too little is known: less than [`HEARD_PART`] of the pool's processor time was heard of
+//! too little is known: less than `HEARD_PART` of the pool's processor time was heard of
 //! lately. A host that has just started knows nothing, so its jobs wait for the first targets.
 //!
 //! **Inputs.** Loads of hosts' targets ([`PoolLoad`]) with their age in ms, at which each
--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -3,26 +3,27 @@
 //! **Rule.** A task is long for a more urgent queue if it is estimated to run for longer than
 //! the slack of that queue's jobs: one that waits for its end is late. Room for the more urgent
 //! work is then kept free of it: as much as that work took on average lately, and
-//! [`SAFETY`] times the standard deviation of independent arrivals. What is kept is nested: for each urgency, the tasks that are long for it and less urgent may hold the
-//! room less what is kept for it and all that is more urgent. Never more than [`MOST_KEPT`] of
-//! the room is kept, and one long task may always run. What arrived is forgotten by half in
-//! `HALF_LIFE_MS`, so that the room is given back when nobody needs it.
+//! `SAFETY_DEVIATIONS` standard deviations of independent arrivals. What is kept is nested: for
+//! each urgency, the less urgent tasks that are long for it may hold the room less what is kept
+//! for it and all that is more urgent. Never more than `MOST_KEPT` of the room is kept, and one
+//! long task may always run. What arrived is forgotten by half in `HALF_LIFE_MS`, so that the
+//! room is given back when nobody needs it.
 //!
 //! **Inputs.** Arrivals: urgency, thousandths of a core, estimate and slack in ms; running
 //! attempts. **Reason.** Urgency alone decides when a target becomes free, and a long task
 //! frees none for its whole time: a burst of them that finds room takes it from all who come
-//! after it. The slack tells what callers can wait. The deviation is the
-//! reserve of square-root staffing, the nesting that of trunk reservation.
+//! after it. The slack tells how long callers can wait. The deviation is the reserve of
+//! square-root staffing, the nesting that of trunk reservation.
 //! **Gives up.** Room that is kept stands idle while less urgent long tasks wait.
 
 use std::collections::BTreeMap;
 
 use crate::Millis;
 
-/// Room beyond the average, in standard deviations of what arrives: more of it stands idle for
-/// longer than it helps.
-const SAFETY: f64 = 0.5;
-/// The most of the room that is kept free of long tasks.
+/// Room that is kept beyond the average, in standard deviations: with more of it the long tasks
+/// lose more than the short ones gain.
+const SAFETY_DEVIATIONS: f64 = 0.5;
+/// The most of the room that is kept free of long tasks: they may always hold the rest.
 const MOST_KEPT: f64 = 0.5;
 /// Fewer tasks at a time than this don't count.
 const LEAST_TASKS: f64 = 0.1;
@@ -124,7 +125,7 @@
             }
             average += arrived.average();
             variance += arrived.variance();
-            let kept = (average + SAFETY * variance.sqrt()).min(most_kept);
+            let kept = (average + SAFETY_DEVIATIONS * variance.sqrt()).min(most_kept);
             let is_long = |other: &TaskSize| {
                 other.urgency > *urgency && arrived.finds_long(other.estimate_ms)
             };
