Learn nothing of replies to starts from a reply that waited while the host stood still

A start's reply that came in a pause of 300 ms was taken for one that took so long: the next start was waited for 150 ms instead of 40 ms.

--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -42,6 +42,9 @@
             Purpose::Renewal { asked } => self.renewal_replied(now, call, &target, asked, reply),
             Purpose::Start(id) => {
                 self.hear_clock(now, token, before_pause, &target, &reply);
+                if !before_pause {
+                    self.observe_start(now, &target, &id, &reply);
+                }
                 self.start_replied(now, token, &target, &id, reply);
             }
             Purpose::Stop(id) => {
@@ -153,6 +156,27 @@
         }
     }
 
+    /// Learns how long replies to starts take. One to a start from before this host stood still
+    /// doesn't show it.
+    fn observe_start(
+        &mut self,
+        now: Millis,
+        target: &Name,
+        id: &AttemptId,
+        reply: &Result<TargetReply, SendFailure>,
+    ) {
+        let attempts = self.targets.get(target).map(|target| &target.attempts);
+        let Some(attempts) = attempts else {
+            return;
+        };
+        let sent = attempts.get(id).map(|attempt| attempt.started);
+        match (reply, sent) {
+            (Ok(_), Some(sent)) => self.start_replies.replied(now.saturating_sub(sent)),
+            (Err(SendFailure::Unknown), _) => self.start_replies.missed(),
+            (Ok(_) | Err(_), _) => {}
+        }
+    }
+
     fn start_replied(
         &mut self,
         now: Millis,
@@ -164,12 +188,6 @@
         let Some(target) = self.targets.get_mut(target_id) else {
             return;
         };
-        let sent = target.attempts.get(id).map(|attempt| attempt.started);
-        match (&reply, sent) {
-            (Ok(_), Some(sent)) => self.start_replies.replied(now.saturating_sub(sent)),
-            (Err(SendFailure::Unknown), _) => self.start_replies.missed(),
-            (Ok(_) | Err(_), _) => {}
-        }
         let lost = AttemptOutcome::Lost;
         let report = match reply {
             Ok(TargetReply::Accepted { clock } | TargetReply::Listing { clock, .. }) => {
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -29,6 +29,7 @@
     pub call: CallId,
     pub target: String,
     pub order: TargetCall,
+    pub wait_ms: Millis,
 }
 
 /// One host whose calls to targets and peers are kept for the test to answer.
@@ -182,11 +183,16 @@
             match action {
                 Action::Answer { request_id, answer } => self.answers.push((request_id, answer)),
                 Action::Target {
-                    call, id, order, ..
+                    call,
+                    id,
+                    order,
+                    wait_ms,
+                    ..
                 } => self.calls.push(Called {
                     call,
                     target: id.to_string(),
                     order,
+                    wait_ms,
                 }),
                 Action::Call {
                     call,
--- a/crates/dispatcher-core/tests/suspended.rs
+++ b/crates/dispatcher-core/tests/suspended.rs
@@ -8,14 +8,19 @@
 use std::time::Duration;
 
 use gannetridge_clock::Clock;
+use gannetridge_dispatcher_core::event::ListedOutcome;
 use gannetridge_dispatcher_core::message::{
     EchoedClock, Envelope, HeartbeatReply, ReplyBody, Request,
 };
-use gannetridge_dispatcher_core::{Event, Millis, RequestId, TargetReply};
-use support::{case, order, peer_info, step, target, Rig};
+use gannetridge_dispatcher_core::{Event, Millis, RequestId, TargetCall, TargetReply};
+use support::{case, ended, order, peer_info, step, target, Rig};
 
 /// Far longer than any lease.
 const GAP_MS: Millis = 3_000;
+/// A little longer than half of an owner lease.
+const SHORT_GAP_MS: Millis = 300;
+/// How long a start is waited for at least; see `rules/congestion.rs`.
+const LEAST_START_WAIT_MS: Millis = 40;
 /// By how much targets' clocks are ahead of the test's.
 const AHEAD_MS: Millis = 500_000;
 
@@ -201,3 +206,35 @@
     });
     assert_ne!(host.attempts_after_suspension(), 0, "nobody missed the gap");
 });
+
+case!(a_reply_from_before_does_not_show_how_long_replies_take, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    // Quick replies: starts are waited for as briefly as they ever are.
+    for number in 0..200 {
+        let id = format!("{number:016x}");
+        rig.submit(number, &id, vec![step(1, 1_000, 20)], 20_000);
+        let (call, _, id) = rig.starts().remove(0);
+        let clock = rig.now + AHEAD_MS;
+        rig.target_reply(call, TargetReply::Accepted { clock });
+        rig.pass(10);
+        for (call, _) in rig.renewals() {
+            rig.listing(call, &[], &[ended(number + 1, &id, ListedOutcome::Done)]);
+        }
+    }
+    rig.submit(900, "0000000000000900", vec![step(1, 1_000, 300)], 20_000);
+    let started = rig.starts().remove(0);
+    let clock = rig.now + AHEAD_MS;
+    // Short enough for its lease.
+    rig.now += SHORT_GAP_MS;
+    rig.target_reply(started.0, TargetReply::Accepted { clock });
+    for (call, _) in rig.renewals() {
+        rig.listing(call, &[], &[]);
+    }
+    rig.starts();
+    rig.submit(901, "0000000000000901", vec![step(1, 1_000, 300)], 20_000);
+    let next = rig
+        .calls
+        .iter()
+        .find(|called| matches!(called.order, TargetCall::Start(_)));
+    assert_eq!(next.expect("a start").wait_ms, LEAST_START_WAIT_MS);
+});
