--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -3,7 +3,7 @@
 //! [`Dispatcher`] owns the host's parts (`Jobs`, `TargetLeases`, `Peers`) and
 //! hands on what one leaves for another. It has no socket, clock, thread or
 //! randomness of its own; it relies on its caller to give it events in the order of
-//! a steady clock, to carry its actions out, and to come back at
+//! a clock that goes on while the host is suspended, to carry its actions out, and to come back at
 //! [`Dispatcher::next_timer`].
 
 mod caller_requests;
--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`event`], [`action`], [`decision`], [`message`]: what goes in, what comes out,
 //!   what is logged, what hosts send each other
 //!
-//! Times are milliseconds of this host's steady clock unless a name says otherwise.
+//! Times are milliseconds of this host's clock, which never goes back and goes on while the host
+//! is suspended, unless a name says otherwise.
 //! `docs/PLATFORM.md` weighs the ways that were open, `docs/DECISIONS.md` leads from
 //! a log line to its rule.
 
@@ -38,5 +39,5 @@
 pub use event::{CallId, Event, RequestId, SendFailure, StoreTable, TargetReply};
 pub use settings::{Bounds, BoundsError, Safeguards, Scheduling, Settings};
 
-/// Milliseconds of this host's steady clock.
+/// Milliseconds of this host's clock, which goes on while the host is suspended.
 pub type Millis = u64;
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -155,7 +155,7 @@
     pub bounds: Bounds,
     /// How many times as long tasks take in racks without their data.
     pub far_slowdown: f64,
-    /// Wall-clock time at which the steady clock was 0, in ms since 1970.
+    /// Wall-clock time at which this host's clock was 0, in ms since 1970.
     pub epoch_ms: u64,
     /// Which of several ways the deployment asks for.
     pub scheduling: Scheduling,
