Keep surely slow targets to one task, and suspend what hangs

Targets seven times slower were only dearer, and beyond capacity dear targets are used all the same; and a hung target wasn't suspended if a neighbour of the attempt had ended before it hung.

--- a/crates/dispatcher-core/src/rules/target_health.rs
+++ b/crates/dispatcher-core/src/rules/target_health.rs
@@ -12,9 +12,9 @@
 //! - An attempt *overruns* after `OVERRUN_FACTOR` times its estimate and
 //!   `OVERRUN_MS`: it is stopped and tried elsewhere.
 //! - Where running times are learned, [`super::target_speed`] says how slow it is instead, and
-//!   [`super::running_time`] what overruns: neither restricts it to one task, and it is suspended
-//!   for such an attempt only if no other one has ended well there since it began. Failures
-//!   count then as [`super::failure_source`] says.
+//!   [`super::running_time`] what overruns. It gets one task at a time while it is surely so
+//!   slow, and is suspended for an overrun only if no other attempt has ended well there for
+//!   half of its time. Failures count then as [`super::failure_source`] says.
 //!
 //! **Inputs.** Replies, ends of attempts, estimates in ms. **Measured**, worth of played
 //! days of one trouble each: two misses instead of one, and overdue attempts as slowdown,
@@ -53,7 +53,7 @@
 /// less than 60 ms half take 1.5 times that and more, of longer ones 1.0 to 1.1 times.
 const OVERDUE_MS: f64 = 30.0;
 /// A target of this slowdown gets one task at a time. The figure was chosen.
-const ONE_TASK_SLOWDOWN: f64 = 3.0;
+pub const ONE_TASK_SLOWDOWN: f64 = 3.0;
 /// An attempt overruns after this many times its estimate. See the measurements
 /// above.
 const OVERRUN_FACTOR: f64 = 4.0;
--- a/crates/dispatcher-core/src/targets/learned.rs
+++ b/crates/dispatcher-core/src/targets/learned.rs
@@ -17,6 +17,7 @@
 use crate::message::{AttemptId, AttemptOutcome};
 use crate::rules::failure_source::RecentEnds;
 use crate::rules::running_time::{usable_estimate_ms, RunningTimes, TaskKind};
+use crate::rules::target_health::ONE_TASK_SLOWDOWN;
 use crate::rules::target_speed::{common, Running, Slowdown, TargetSpeed};
 use crate::settings::{RunningTimes as Way, Settings};
 use crate::Millis;
@@ -36,8 +37,8 @@
 const KIND_TOLD_MS: Millis = 10_000;
 /// A target's speed is logged when it has changed by this factor.
 const TOLD_CHANGE: f64 = 1.4;
-/// A target's speed is logged when it is so sure.
-const TOLD_CERTAINTY: f64 = 0.5;
+/// A slowdown that is more likely right than not is logged, and acted on.
+const SURE: f64 = 0.5;
 
 /// What is known of a kind of task.
 #[derive(Debug)]
@@ -82,6 +83,11 @@
             told: 1.0,
         }
     }
+
+    /// Returns whether it is so surely slow that it gets one task at a time.
+    pub(super) fn crawls(&self) -> bool {
+        self.slowdown.factor >= ONE_TASK_SLOWDOWN && self.slowdown.certainty >= SURE
+    }
 }
 
 impl LearnedTimes {
@@ -239,12 +245,15 @@
     }
 
     /// Returns whether an attempt that is to be tried elsewhere speaks against the target. Where
-    /// running times are learned, it doesn't if another one has ended well there since it began:
-    /// the target isn't hung.
-    pub(super) fn is_suspect_for(&self, id: &AttemptId) -> bool {
-        let (learned, attempt) = (self.learned.as_ref(), self.attempts.get(id));
-        let last_done = learned.map_or(0, |learned| learned.last_done);
-        attempt.is_none_or(|attempt| attempt.started >= last_done)
+    /// running times are learned, one that tells no progress doesn't if another one has ended
+    /// well there in the second half of its time: the target isn't hung.
+    pub(super) fn is_suspect_for(&self, now: Millis, id: &AttemptId) -> bool {
+        let attempt = self.attempts.get(id);
+        let (Some(learned), Some(attempt)) = (&self.learned, attempt) else {
+            return true;
+        };
+        let run_ms = now.saturating_sub(attempt.started);
+        attempt.stalled || learned.last_done + run_ms / 2 < now
     }
 
     /// Reckons anew how slow it is, and when its attempts end.
@@ -269,7 +278,7 @@
         let learned = self.learned.as_mut()?;
         let slowdown = learned.slowdown;
         let change = (slowdown.factor / learned.told).ln().abs();
-        let tells = learned.speed.is_known() && slowdown.certainty >= TOLD_CERTAINTY;
+        let tells = learned.speed.is_known() && slowdown.certainty >= SURE;
         if !tells || change < TOLD_CHANGE.ln() {
             return None;
         }
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -105,7 +105,10 @@
             let target = self.targets.get_mut(&target_id);
             let target = target.expect("active targets are known");
             let hopeless = target.hopeless(now);
-            if hopeless.iter().any(|(id, _)| target.is_suspect_for(id)) {
+            if hopeless
+                .iter()
+                .any(|(id, _)| target.is_suspect_for(now, id))
+            {
                 target.health.suspend(now);
             }
             for (id, reason) in hopeless {
