--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -10,13 +10,11 @@
 use gannetridge_wire::Name;
 
 use crate::backlog::Handed;
-use crate::event::SendFailure;
 use crate::jobs::WaitingTask;
 use crate::message::{
-    AttemptEnd, AttemptId, AttemptOutcome, HandedTask, HolderLoad, PoolLoad, Priority, Reply,
-    ReplyBody, Request, TaskOrder, WaitingWork,
+    AttemptEnd, AttemptId, AttemptOutcome, HandedTask, PoolLoad, Priority, ReplyBody, TaskOrder,
 };
-use crate::rules::backlog::{keeps, patience_ms, ROOM_TOLD_MS};
+use crate::rules::backlog::{keeps, patience_ms};
 use crate::rules::hall_load::expected_wait_ms;
 use crate::rules::long_tasks::TaskSize;
 use crate::rules::shares::Origin;
@@ -27,7 +25,6 @@
 use crate::targets::{Owner, OwnerSession, Reach};
 use crate::Millis;
 
-use super::peer_calls::{body, Purpose};
 use super::placement::MAX_SCHEDULED;
 use super::Dispatcher;
 
@@ -292,104 +289,6 @@
         kept
     }
 
-    /// Returns what this host's targets have to do, by pool.
-    pub(super) fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
-        let mut loads = Vec::new();
-        for room in self.targets.pool_rooms(now) {
-            let mut load = PoolLoad {
-                queue_cpu: room.soon_cpu,
-                pool: room.pool,
-                capacity_cpu: room.capacity_cpu,
-                used_cpu: room.used_cpu,
-                waiting: Vec::new(),
-            };
-            for task in self.jobs.waiting(now, MAX_SCHEDULED) {
-                if *self.jobs.pool(&task.job) == load.pool {
-                    add_waiting(
-                        &mut load,
-                        task.priority.urgency,
-                        &task.resources,
-                        task.estimate_ms,
-                    );
-                }
-            }
-            for handed in self.backlog.iter() {
-                let order = &handed.task.order;
-                if order.pool == load.pool {
-                    let urgency = handed.task.priority.urgency;
-                    add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
-                }
-            }
-            load.waiting.sort_by_key(|work| work.urgency);
-            loads.push(load);
-        }
-        loads
-    }
-
-    /// Returns what this host's targets have free and have to do; nothing while it stops.
-    fn holder_load(&self, now: Millis) -> HolderLoad {
-        if self.stopping.is_some() {
-            return HolderLoad::default();
-        }
-        HolderLoad {
-            room: self.targets.room(now),
-            pools: self.pool_loads(now),
-        }
-    }
-
-    /// Adds to a reply what this host's targets have to do.
-    pub(super) fn with_load(&self, now: Millis, body: ReplyBody) -> ReplyBody {
-        ReplyBody::WithLoad {
-            load: self.holder_load(now),
-            body: Box::new(body),
-        }
-    }
-
-    /// Tells the peer with the first demand that there is room here and nothing waits.
-    fn tell_room(&mut self, now: Millis) {
-        if self.stopping.is_some() {
-            return;
-        }
-        let Some((name, demand)) = self.first_demand(now) else {
-            return;
-        };
-        if !self.targets.may_fit(now, &demand) {
-            return;
-        }
-        if let Some(peer) = self.peers.get_mut(&name) {
-            peer.room_told = now;
-        }
-        let request = Request::Room(self.holder_load(now));
-        self.call_peer(now, &name, request, Purpose::Room);
-    }
-
-    /// Returns the peer whose demand goes first, of those that weren't told of room just now,
-    /// and the least that any of its tasks needs.
-    fn first_demand(&self, now: Millis) -> Option<(Name, Resources)> {
-        let demanding = self.peers.iter();
-        let demanding = demanding.filter(|(_, peer)| peer.room_told + ROOM_TOLD_MS <= now);
-        let open = demanding.filter_map(|(name, peer)| Some((name, peer.open_demand(now)?)));
-        let first = open.min_by(|(_, a), (_, b)| {
-            let order = a.priority.partial_cmp(&b.priority);
-            order.unwrap_or(Ordering::Equal)
-        });
-        first.map(|(name, open)| (name.clone(), open.demand.smallest))
-    }
-
-    /// A peer has heard of room here: one with nothing that waits isn't told again.
-    pub(super) fn room_replied(
-        &mut self,
-        now: Millis,
-        name: &Name,
-        reply: Result<Reply, SendFailure>,
-    ) {
-        if !matches!(body(reply), Some(ReplyBody::Interested(true))) {
-            if let Some(peer) = self.peers.get_mut(name) {
-                peer.set_demand(now, None);
-            }
-        }
-    }
-
     /// Takes those of a peer's tasks out of `ids` that wait here, and returns them: the peer
     /// no longer wants them, or wants to know of them.
     pub(super) fn withdraw(&mut self, owner: &Name, ids: &mut Vec<AttemptId>) -> Vec<Handed> {
@@ -437,20 +336,3 @@
         }
     }
 }
-
-/// Counts a task among those that wait.
-fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
-    load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
-    let core_ms = needed.core_ms(estimate_ms);
-    match load.waiting.iter_mut().find(|work| work.urgency == urgency) {
-        Some(work) => {
-            work.tasks += 1;
-            work.core_ms += core_ms;
-        }
-        None => load.waiting.push(WaitingWork {
-            urgency,
-            tasks: 1,
-            core_ms,
-        }),
-    }
-}
--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -1,17 +1,15 @@
 //! The owner's side of tasks that wait at holders: where each task goes, and what the holders
 //! say of it. See [`crate::rules::holder_choice`] and [`crate::rules::backlog`].
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 
 use gannetridge_wire::Name;
 
 use crate::decision::Decision;
 use crate::event::SendFailure;
 use crate::jobs::WaitingTask;
-use crate::message::{
-    AttemptId, HandedTask, HolderLoad, Reply, ReplyBody, Request, TargetRoom, TaskOrder,
-};
-use crate::peers::{ChosenHolder, KnownRoom};
+use crate::message::{AttemptId, HandedTask, Reply, ReplyBody, Request, TaskOrder};
+use crate::peers::ChosenHolder;
 use crate::rules::backlog::{latest_begin, patience_ms};
 use crate::rules::holder_choice::{HolderView, Place, TaskView};
 use crate::targets::Reach;
@@ -192,43 +190,4 @@
             }
         }
     }
-
-    /// Takes what a peer told of its targets.
-    pub(super) fn load_heard(&mut self, now: Millis, name: &Name, load: HolderLoad) {
-        let room = load.room.into_iter();
-        let room = room.filter_map(|room| self.known_room(room)).collect();
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.heard_load(now, room, load.pools);
-        }
-    }
-
-    /// Returns a peer's target with what is free there; none if this host hasn't heard of it.
-    fn known_room(&self, room: TargetRoom) -> Option<KnownRoom> {
-        let entry = self.targets.entry(&room.target)?.clone();
-        Some(KnownRoom {
-            entry,
-            free: room.free,
-        })
-    }
-
-    /// Takes which targets a peer holds: near which data its tasks can run.
-    pub(super) fn labels_heard(&mut self, name: &Name, leased: &[Name]) {
-        let entries = leased.iter().filter_map(|id| self.targets.entry(id));
-        let labels = entries.flat_map(|entry| entry.labels.iter().cloned());
-        let labels: HashSet<Name> = labels.collect();
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.holds_labels(labels);
-        }
-    }
-
-    /// A peer has room: what waits here is looked at after this event.
-    pub(super) fn room_received(
-        &mut self,
-        now: Millis,
-        name: &Name,
-        load: HolderLoad,
-    ) -> ReplyBody {
-        self.load_heard(now, name, load);
-        ReplyBody::Interested(!self.jobs.none_waits())
-    }
 }
--- /dev/null
+++ b/crates/dispatcher-core/src/dispatcher/load.rs
@@ -0,0 +1,177 @@
+//! What hosts tell each other of their targets where tasks wait at holders: with each reply, and
+//! where there is room while a peer's tasks find none.
+//!
+//! Relies on [`crate::targets`] for what this host's targets have, and on [`crate::peers`] to
+//! keep what was heard.
+
+use std::cmp::Ordering;
+use std::collections::HashSet;
+
+use gannetridge_wire::Name;
+
+use crate::event::SendFailure;
+use crate::message::{HolderLoad, PoolLoad, Reply, ReplyBody, Request, TargetRoom, WaitingWork};
+use crate::peers::KnownRoom;
+use crate::rules::backlog::ROOM_TOLD_MS;
+use crate::spec::Resources;
+use crate::Millis;
+
+use super::peer_calls::{body, Purpose};
+use super::placement::MAX_SCHEDULED;
+use super::Dispatcher;
+
+impl Dispatcher {
+    /// Returns what this host's targets have to do, by pool.
+    pub(super) fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
+        let mut loads = Vec::new();
+        for room in self.targets.pool_rooms(now) {
+            let mut load = PoolLoad {
+                queue_cpu: room.soon_cpu,
+                pool: room.pool,
+                capacity_cpu: room.capacity_cpu,
+                used_cpu: room.used_cpu,
+                waiting: Vec::new(),
+            };
+            for task in self.jobs.waiting(now, MAX_SCHEDULED) {
+                if *self.jobs.pool(&task.job) == load.pool {
+                    add_waiting(
+                        &mut load,
+                        task.priority.urgency,
+                        &task.resources,
+                        task.estimate_ms,
+                    );
+                }
+            }
+            for handed in self.backlog.iter() {
+                let order = &handed.task.order;
+                if order.pool == load.pool {
+                    let urgency = handed.task.priority.urgency;
+                    add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
+                }
+            }
+            load.waiting.sort_by_key(|work| work.urgency);
+            loads.push(load);
+        }
+        loads
+    }
+
+    /// Returns what this host's targets have free and have to do; nothing while it stops.
+    fn holder_load(&self, now: Millis) -> HolderLoad {
+        if self.stopping.is_some() {
+            return HolderLoad::default();
+        }
+        HolderLoad {
+            room: self.targets.room(now),
+            pools: self.pool_loads(now),
+        }
+    }
+
+    /// Adds to a reply what this host's targets have to do.
+    pub(super) fn with_load(&self, now: Millis, body: ReplyBody) -> ReplyBody {
+        ReplyBody::WithLoad {
+            load: self.holder_load(now),
+            body: Box::new(body),
+        }
+    }
+
+    /// Tells the peer with the first demand that there is room here and nothing waits.
+    pub(super) fn tell_room(&mut self, now: Millis) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let Some((name, demand)) = self.first_demand(now) else {
+            return;
+        };
+        if !self.targets.may_fit(now, &demand) {
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(&name) {
+            peer.room_told = now;
+        }
+        let request = Request::Room(self.holder_load(now));
+        self.call_peer(now, &name, request, Purpose::Room);
+    }
+
+    /// Returns the peer whose demand goes first, of those that weren't told of room just now,
+    /// and the least that any of its tasks needs.
+    fn first_demand(&self, now: Millis) -> Option<(Name, Resources)> {
+        let demanding = self.peers.iter();
+        let demanding = demanding.filter(|(_, peer)| peer.room_told + ROOM_TOLD_MS <= now);
+        let open = demanding.filter_map(|(name, peer)| Some((name, peer.open_demand(now)?)));
+        let first = open.min_by(|(_, a), (_, b)| {
+            let order = a.priority.partial_cmp(&b.priority);
+            order.unwrap_or(Ordering::Equal)
+        });
+        first.map(|(name, open)| (name.clone(), open.demand.smallest))
+    }
+
+    /// A peer has heard of room here: one with nothing that waits isn't told again.
+    pub(super) fn room_replied(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        reply: Result<Reply, SendFailure>,
+    ) {
+        if !matches!(body(reply), Some(ReplyBody::Interested(true))) {
+            if let Some(peer) = self.peers.get_mut(name) {
+                peer.set_demand(now, None);
+            }
+        }
+    }
+
+    /// Takes what a peer told of its targets.
+    pub(super) fn load_heard(&mut self, now: Millis, name: &Name, load: HolderLoad) {
+        let room = load.room.into_iter();
+        let room = room.filter_map(|room| self.known_room(room)).collect();
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.heard_load(now, room, load.pools);
+        }
+    }
+
+    /// Returns a peer's target with what is free there; none if this host hasn't heard of it.
+    fn known_room(&self, room: TargetRoom) -> Option<KnownRoom> {
+        let entry = self.targets.entry(&room.target)?.clone();
+        Some(KnownRoom {
+            entry,
+            free: room.free,
+        })
+    }
+
+    /// Takes which targets a peer holds: near which data its tasks can run.
+    pub(super) fn labels_heard(&mut self, name: &Name, leased: &[Name]) {
+        let entries = leased.iter().filter_map(|id| self.targets.entry(id));
+        let labels = entries.flat_map(|entry| entry.labels.iter().cloned());
+        let labels: HashSet<Name> = labels.collect();
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.holds_labels(labels);
+        }
+    }
+
+    /// A peer has room: what waits here is looked at after this event.
+    pub(super) fn room_received(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        load: HolderLoad,
+    ) -> ReplyBody {
+        self.load_heard(now, name, load);
+        ReplyBody::Interested(!self.jobs.none_waits())
+    }
+}
+
+/// Counts a task among those that wait.
+fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
+    load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
+    let core_ms = needed.core_ms(estimate_ms);
+    match load.waiting.iter_mut().find(|work| work.urgency == urgency) {
+        Some(work) => {
+            work.tasks += 1;
+            work.core_ms += core_ms;
+        }
+        None => load.waiting.push(WaitingWork {
+            urgency,
+            tasks: 1,
+            core_ms,
+        }),
+    }
+}
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 mod caller_requests;
 mod draining;
 mod handing_over;
+mod load;
 mod owner_leases;
 mod peer_calls;
 mod peer_requests;
