--- a/crates/dispatcher-core/tests/learned_speeds.rs
+++ b/crates/dispatcher-core/tests/learned_speeds.rs
@@ -206,6 +206,20 @@
         stopped.collect()
     }
 
+    /// Returns the median running time over estimate that was last told of a kind.
+    fn median_told(&self, estimate: Millis) -> f64 {
+        let decisions = self.rig.decisions.iter();
+        let told = decisions.filter_map(|decision| match decision {
+            Decision::TaskTimes {
+                estimate_ms,
+                median,
+                ..
+            } if *estimate_ms == Some(estimate) => Some(*median),
+            _ => None,
+        });
+        told.last().expect("told each 10 s")
+    }
+
     /// Returns how many attempts were done on all targets.
     fn done(&self) -> usize {
         self.machines.values().map(|machine| machine.done).sum()
@@ -447,6 +461,8 @@
     fleet.pass(30_000);
     assert_eq!(fleet.stopped(), []);
     assert!(fleet.alarms(2.5) <= 2);
+    let median = fleet.median_told(128);
+    assert!((2.7..4.0).contains(&median), "{median}");
 });
 
 case!(an_attempt_that_advances_is_let_run_for_however_long, {
--- a/crates/dispatcher-core/tests/running_times.rs
+++ b/crates/dispatcher-core/tests/running_times.rs
@@ -88,8 +88,12 @@
 
 case!(work_that_changes_is_learned, {
     let (mut times, mut rng) = known(1.0, 600);
-    learn(&mut times, &mut rng, 3.0, 300);
+    learn(&mut times, &mut rng, 3.0, 40);
     assert_near(times.median(), 3.0, 0.25);
+    // What is merely unlucky isn't a change.
+    let (mut times, _) = known(1.0, 600);
+    (0..10).for_each(|_| times.ended(times.last_end() + STEP_MS, 7.0));
+    assert_near(times.median(), 1.0, 0.2);
 });
 
 case!(a_kind_that_rests_is_known_by_its_last_ends, {
