Show operators each hall's load, and the tasks of peers that wait

The summary by hall is made where it is read, of what peers told anyway; the form that was kept up to date with each reply had no reader and is gone with its test, which is replaced by two of the sum and of the expected wait.

--- a/crates/dispatcher-core/src/dispatcher/load.rs
+++ b/crates/dispatcher-core/src/dispatcher/load.rs
@@ -5,7 +5,7 @@
 //! keep what was heard.
 
 use std::cmp::Ordering;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 use gannetridge_wire::Name;
 
@@ -13,6 +13,7 @@
 use crate::message::{HolderLoad, PoolLoad, Reply, ReplyBody, Request, TargetRoom, WaitingWork};
 use crate::peers::KnownRoom;
 use crate::rules::backlog::ROOM_TOLD_MS;
+use crate::rules::hall_load::HallLoad;
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -55,6 +56,18 @@
         loads
     }
 
+    /// Returns the load of each hall's targets, as far as this host knows it.
+    #[must_use]
+    pub fn hall_loads(&self, now: Millis) -> BTreeMap<Name, HallLoad> {
+        let mut halls = BTreeMap::new();
+        for load in self.pool_loads(now) {
+            let hall: &mut HallLoad = halls.entry(self.own.hall.clone()).or_default();
+            hall.add(&load, 0);
+        }
+        self.peers.add_hall_loads(now, &mut halls);
+        halls
+    }
+
     /// Returns what this host's targets have free and have to do; nothing while it stops.
     fn holder_load(&self, now: Millis) -> HolderLoad {
         if self.stopping.is_some() {
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -58,6 +58,8 @@
     pub attempts: usize,
     /// Thousandths of a core that these are expected to free within 100 ms.
     pub cpu_freed_soon: u32,
+    /// Tasks of peers that wait here.
+    pub tasks_of_peers: usize,
     /// Peers that are taken to live.
     pub peers_alive: usize,
     /// Halls that are draining.
@@ -158,6 +160,7 @@
             targets_leased: targets.leased,
             attempts: targets.attempts,
             cpu_freed_soon: targets.cpu_freed_soon,
+            tasks_of_peers: self.backlog.len(),
             peers_alive: self.peers.alive(now),
             halls_draining: self.draining.halls().len(),
             store_age_ms: self.store_news.age(now),
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -2,11 +2,14 @@
 //!
 //! Brings together what is known of each peer and [`crate::rules::peer_choice`].
 
+use std::collections::BTreeMap;
+
 use gannetridge_wire::Name;
 
 use super::{Peer, Peers};
 use crate::message::{PoolLoad, TaskOrder};
 use crate::rules::backlog::HANDED_MS;
+use crate::rules::hall_load::HallLoad;
 use crate::rules::holder_choice::{choose, Begin, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
 use crate::spec::Resources;
@@ -63,6 +66,16 @@
         open.flat_map(move |peer| peer.loads(now))
     }
 
+    /// Adds what living peers' targets have to do to the loads of their halls.
+    pub fn add_hall_loads(&self, now: Millis, halls: &mut BTreeMap<Name, HallLoad>) {
+        for peer in self.peers.values().filter(|peer| peer.takes_tasks(now)) {
+            for (load, age_ms) in peer.loads(now) {
+                let hall = halls.entry(peer.info.hall.clone()).or_default();
+                hall.add(load, age_ms);
+            }
+        }
+    }
+
     /// Returns whether a peer that was heard within a heartbeat had the resources for an order.
     #[must_use]
     pub fn has_room(&self, now: Millis, order: &TaskOrder) -> bool {
--- a/crates/dispatcher-core/tests/holder_choice.rs
+++ b/crates/dispatcher-core/tests/holder_choice.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use gannetridge_dispatcher_core::message::{PoolLoad, WaitingWork};
-use gannetridge_dispatcher_core::rules::hall_load::{HallLoad, HeardLoad};
+use gannetridge_dispatcher_core::rules::hall_load::{expected_wait_ms, HallLoad};
 use gannetridge_dispatcher_core::rules::holder_choice::{
     choose, Begin, Distance, HolderView, Place, TaskView,
 };
@@ -115,21 +115,29 @@
     }
 }
 
-case!(a_halls_load_is_what_its_hosts_last_told, {
-    let loads = [pool_load(9_000, 1, 4), pool_load(6_000, 0, 2)];
-    let heard = |load, at| Some(HeardLoad { load, at });
+case!(a_halls_load_is_the_sum_of_what_its_hosts_told, {
     let mut hall = HallLoad::default();
-    hall.replace(None, heard(&loads[0], 100));
-    hall.replace(None, heard(&loads[1], 200));
-    assert_eq!((hall.free_cpu(), hall.age_ms(250)), (5_000, Some(100)));
+    hall.add(&pool_load(9_000, 1, 4), 50);
+    hall.add(&pool_load(6_000, 0, 2), 150);
+    hall.add(&pool_load(6_000, 1, 1), 100);
+    assert_eq!(
+        (hall.capacity_cpu, hall.used_cpu, hall.age_ms),
+        (30_000, 21_000, 150)
+    );
+    let waiting: Vec<_> = hall
+        .waiting
+        .iter()
+        .map(|work| (work.urgency, work.tasks))
+        .collect();
+    assert_eq!(waiting, [(0, 2), (1, 5)]);
+});
+
+case!(a_task_is_expected_to_wait_for_what_goes_before_it, {
+    let waiting = [pool_load(0, 0, 2), pool_load(0, 1, 4)].map(|load| load.waiting[0]);
     // 200 core-ms of its own and what goes before it, on 20 cores.
-    let waits = [hall.wait_ms(0, 200), hall.wait_ms(1, 200)];
-    assert_eq!(waits, [Some(20), Some(40)]);
-    hall.replace(heard(&loads[1], 200), heard(&loads[0], 300));
-    hall.replace(heard(&loads[0], 100), None);
-    assert_eq!((hall.hosts, hall.wait_ms(0, 200)), (1, Some(20)));
-    hall.replace(heard(&loads[0], 300), None);
-    assert_eq!((hall.wait_ms(0, 200), hall.age_ms(400)), (None, None));
+    let waits = |urgency| expected_wait_ms(&waiting, 20_000, urgency, 200);
+    assert_eq!([waits(0), waits(1)], [Some(20), Some(40)]);
+    assert_eq!(expected_wait_ms(&waiting, 0, 0, 200), None);
 });
 
 /// Leaves only some holders to choose from.
--- a/crates/dispatcher/src/core_task.rs
+++ b/crates/dispatcher/src/core_task.rs
@@ -205,6 +205,8 @@
                 let dropped = self.parts.log_dropped.dropped_lines() as u64;
                 self.traffic.publish();
                 self.parts.metrics.observe(&counts, dropped);
+                let halls = self.parts.dispatcher.hall_loads(self.now());
+                self.parts.metrics.observe_halls(&halls);
                 inspect(&self.parts.dispatcher, &self.parts.metrics);
             }
         }
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,8 +2,11 @@
 //!
 //! `docs/OPERATIONS.md` lists them; `tests/operator_view.rs` holds their names and labels.
 
+use std::collections::BTreeMap;
+
 use gannetridge_dispatcher_core::decision::{EndCause, EntryFault};
 use gannetridge_dispatcher_core::dispatcher::Counts;
+use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
 use gannetridge_dispatcher_core::{Decision, Millis};
 use gannetridge_net::HttpReply;
 use gannetridge_process::metrics::{MetricsRegistry, TargetInfo};
@@ -43,6 +46,10 @@
     known: Gauge<u64>,
     attempts: Gauge<u64>,
     freed_soon: Gauge<u64>,
+    tasks_of_peers: Gauge<u64>,
+    hall_cpu: Gauge<u64>,
+    hall_waiting: Gauge<u64>,
+    hall_news_age: Gauge<u64>,
     peers: Gauge<u64>,
     log_dropped: Gauge<u64>,
     slowdown: Gauge<f64>,
@@ -102,6 +109,19 @@
                 "cpu_freed_soon",
                 "Thousandths of a core that runs are expected to free within 100 ms",
             ),
+            tasks_of_peers: gauge("tasks_of_peers", "Tasks of peers that wait here"),
+            hall_cpu: gauge(
+                "hall_cpu",
+                "Thousandths of a core of a hall's targets, and in use, as this host knows",
+            ),
+            hall_waiting: gauge(
+                "hall_waiting_core_ms",
+                "Work that waits in a hall by urgency, in core-ms, as this host knows",
+            ),
+            hall_news_age: gauge(
+                "hall_news_age_ms",
+                "Age of the oldest news of a hall's hosts",
+            ),
             peers: gauge("peers_alive", "Peers that are taken to live"),
             log_dropped: gauge("log_lines_dropped", "Log lines dropped"),
             slowdown: ratio(
@@ -220,6 +240,23 @@
         self.jobs.add(1, &[queue, cause]);
     }
 
+    /// Takes over what is known of each hall's targets.
+    pub fn observe_halls(&self, halls: &BTreeMap<Name, HallLoad>) {
+        for (hall, load) in halls {
+            let hall = KeyValue::new("hall", hall.to_string());
+            let part = |part: &'static str| [hall.clone(), KeyValue::new("part", part)];
+            self.hall_cpu.record(load.capacity_cpu, &part("capacity"));
+            self.hall_cpu.record(load.used_cpu, &part("used"));
+            for work in &load.waiting {
+                let urgency = KeyValue::new("urgency", i64::from(work.urgency));
+                self.hall_waiting
+                    .record(work.core_ms, &[hall.clone(), urgency]);
+            }
+            self.hall_news_age
+                .record(load.age_ms, std::slice::from_ref(&hall));
+        }
+    }
+
     /// Takes over how much a host has to do, and how many log lines were dropped.
     pub fn observe(&self, counts: &Counts, log_dropped: u64) {
         self.under_way.record(counts.jobs as u64, &[]);
@@ -228,6 +265,8 @@
         self.attempts.record(counts.attempts as u64, &[]);
         self.freed_soon
             .record(u64::from(counts.cpu_freed_soon), &[]);
+        self.tasks_of_peers
+            .record(counts.tasks_of_peers as u64, &[]);
         self.peers.record(counts.peers_alive as u64, &[]);
         self.halls_draining
             .record(counts.halls_draining as u64, &[]);
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -12,7 +12,8 @@
     Rejection, StopReason, StoreReading, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
-use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
+use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome, PoolLoad, WaitingWork};
+use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
 use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Millis, Safeguards, Settings};
 use serde_json::Value;
 
@@ -38,6 +39,20 @@
     }
 }
 
+fn pool_load() -> PoolLoad {
+    PoolLoad {
+        pool: "pool-1".into(),
+        capacity_cpu: 16_000,
+        used_cpu: 15_300,
+        queue_cpu: 4_000,
+        waiting: vec![WaitingWork {
+            urgency: 2,
+            tasks: 3,
+            core_ms: 1_440,
+        }],
+    }
+}
+
 fn job_ended(cause: EndCause) -> Decision {
     Decision::JobEnded {
         job: "0123456789abcdef".into(),
@@ -236,6 +251,9 @@
         ..dispatcher().counts(0)
     };
     metrics.observe(&counts, 5);
+    let mut hall = HallLoad::default();
+    hall.add(&pool_load(), 140);
+    metrics.observe_halls(&[("hall-a".into(), hall)].into());
     let text = String::from_utf8(metrics.text().unwrap()).unwrap();
     insta::assert_snapshot!("metrics", text);
 }
