--- a/crates/dispatcher-core/tests/learned_speeds.rs
+++ b/crates/dispatcher-core/tests/learned_speeds.rs
@@ -208,8 +208,8 @@
 
     /// Returns the median running time over estimate that was last told of a kind.
     fn median_told(&self, estimate: Millis) -> f64 {
-        let decisions = self.rig.decisions.iter();
-        let told = decisions.filter_map(|decision| match decision {
+        let latest_first = self.rig.decisions.iter().rev();
+        let mut told = latest_first.filter_map(|decision| match decision {
             Decision::TaskTimes {
                 estimate_ms,
                 median,
@@ -217,7 +217,7 @@
             } if *estimate_ms == Some(estimate) => Some(*median),
             _ => None,
         });
-        told.last().expect("told each 10 s")
+        told.next().expect("told each 10 s")
     }
 
     /// Returns how many attempts were done on all targets.
