Hold that a silent owner's tasks are dropped, as the test meant to

The test let time jump, at which the host doubts its targets and starts nothing, whosever the task: without the mechanism it passed as well. It now lets time pass in steps while the target answers, and fails without it.

--- a/crates/dispatcher-core/tests/backlog.rs
+++ b/crates/dispatcher-core/tests/backlog.rs
@@ -153,12 +153,18 @@
 
 case!(tasks_of_a_silent_owner_are_dropped, {
     let (mut rig, running) = full_holder();
-    // Its lease is over before its tasks' latest begin would be.
+    // Its owner's lease is over before its latest begin would be.
     let owner_lease = support::BOUNDS.times().unwrap().owner_lease;
     let mut task = handed(&rig, "c.0.0.0", 100);
     task.latest_begin += 10 * owner_lease;
-    hand_over(&mut rig, vec![task]);
-    rig.now += owner_lease + 1;
+    assert_eq!(hand_over(&mut rig, vec![task]).1, [0]);
+    let silent_until = rig.now + owner_lease + 10;
+    while rig.now < silent_until {
+        rig.pass(10);
+        for (call, _) in rig.renewals() {
+            rig.listing(call, &running, &[]);
+        }
+    }
     list_end(&mut rig, &running[1..], &running[0]);
     assert!(started(&mut rig).is_empty());
 });
