--- a/crates/dispatcher-sim/src/scenario.rs
+++ b/crates/dispatcher-sim/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gannetridge_dispatcher_core::settings::{RunningTimes, WaitingAt, WaitingOrder};
 use gannetridge_dispatcher_core::{Bounds, Millis, Safeguards, Scheduling};
 
 use crate::checks::Violation;
@@ -79,6 +80,19 @@
         }
     }
 
+    /// The same, where tasks wait at holders, in one order, by learned running times.
+    #[must_use]
+    pub fn with_backlogs(seed: u64) -> Self {
+        Self {
+            scheduling: Scheduling {
+                waiting_at: WaitingAt::Holder,
+                order: WaitingOrder::Shares,
+                running_times: RunningTimes::Learned,
+            },
+            ..Self::with_drains(seed)
+        }
+    }
+
     /// The same, where the operator drains halls and takes them back all the time.
     #[must_use]
     pub fn with_drains(seed: u64) -> Self {
--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -104,6 +104,43 @@
     assert!(found, "nobody missed it");
 }
 
+/// Tasks wait at the holders of targets, which die, freeze, are cut off, lose targets and drain.
+#[test]
+fn promises_are_kept_while_tasks_wait_at_holders() {
+    for seed in 1..=24 {
+        let outcome = run(&Scenario::with_backlogs(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn promises_are_kept_while_tasks_wait_at_holders_of_targets_that_start_again() {
+    for seed in 1..=12 {
+        let outcome = run(&Scenario {
+            restart_gap_ms: 800,
+            ..Scenario::with_backlogs(seed)
+        });
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+/// An owner that tries a task elsewhere before its holder said that it wasn't begun.
+#[test]
+fn lost_attempts_that_are_not_waited_for_are_found_where_tasks_wait_at_holders() {
+    let safeguards = Safeguards {
+        lost_attempts_are_waited_for: false,
+        ..Safeguards::default()
+    };
+    let found = (1..=40).any(|seed| {
+        let outcome = run(&Scenario {
+            safeguards,
+            ..Scenario::with_backlogs(seed)
+        });
+        outcome.violations.iter().any(|v| v.rule == Rule::NotTwice)
+    });
+    assert!(found, "nobody missed it");
+}
+
 fn wide_with_drains(seed: u64) -> Scenario {
     Scenario {
         hosts: 8,
