Heed a target's capacity that shrinks and grows while it runs

Cause: only the entry in the list was read, so that a target whose listings told less was filled beyond what it had, and an entry from before a shrink allowed starts over it. A capacity of the wrong type in a listing would have made the whole listing unreadable.

Change: listings tell the capacity; rules/capacity.rs decides which of entry and listing holds. The less of both holds between an entry that changed and the next listing. Jobs that fit what a target had at its most aren't refused as too large.

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -5,6 +5,7 @@
 use gannetridge_wire::Name;
 
 use crate::message::{AttemptId, AttemptOutcome};
+use crate::spec::Resources;
 use crate::Millis;
 
 pub use texts::{
@@ -113,6 +114,17 @@
         /// What showed it.
         by: BeliefSource,
     },
+    /// The capacity of a target that this host looks after changed.
+    TargetCapacity {
+        /// The target.
+        target: Name,
+        /// What it has from now on.
+        capacity: Resources,
+        /// What attempts take of it that run there, those being stopped among them; may be more.
+        used: Resources,
+        /// What told it.
+        by: BeliefSource,
+    },
     /// What the host believes of a peer changed.
     Peer {
         /// The peer.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -143,6 +143,8 @@
         Unusable = "unusable",
         /// Its entry names a target again.
         Usable = "usable",
+        /// Its listing tells a capacity that can't be read.
+        CapacityUnusable = "capacity unusable",
         /// Its hall is draining.
         HallDraining = "hall draining",
         /// Its hall no longer drains.
--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -4,8 +4,9 @@
 use gannetridge_wire::Name;
 
 use crate::configuration::Configuration;
+use crate::decision::EntryFault;
 use crate::message::{AttemptId, Envelope, HostInfo, Reply};
-use crate::spec::JobSpec;
+use crate::spec::{JobSpec, Resources};
 use crate::Millis;
 
 pub use crate::target_list::{TargetChange, TargetEntry, TargetList, UnusableEntry};
@@ -94,6 +95,8 @@
         ended: Vec<ListedEnd>,
         /// When its life began, if it tells.
         born: Option<Born>,
+        /// What it has, if it tells; the fault of what can't be read.
+        capacity: Option<Result<Resources, EntryFault>>,
     },
     /// It did nothing: it has seen a higher fencing token.
     StaleToken {
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | Why was this request rejected at once? | [`admission`] |
 //! | Which waiting task goes first? | [`priority`] |
+//! | How much does a target have? | [`capacity`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | What follows from the end of an attempt? | [`retry`] |
@@ -28,6 +29,7 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod capacity;
 pub mod congestion;
 pub mod contention;
 pub mod draining;
--- a/crates/dispatcher-core/src/rules/target_choice.rs
+++ b/crates/dispatcher-core/src/rules/target_choice.rs
@@ -59,10 +59,10 @@
         && !order.avoid.contains(&entry.id)
 }
 
-/// Returns whether a target could ever run a task.
+/// Returns whether a target could ever run a task that had `most` at its most.
 #[must_use]
-pub fn could_run(entry: &TargetEntry, order: &TaskOrder) -> bool {
-    suits(entry, order) && entry.capacity.fits(&order.resources)
+pub fn could_run(entry: &TargetEntry, most: &Resources, order: &TaskOrder) -> bool {
+    suits(entry, order) && most.fits(&order.resources)
 }
 
 /// Returns whether a task's data lies in another rack than the target.
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -32,6 +32,36 @@
         need.cpu <= self.cpu && need.memory_mb <= self.memory_mb && need.gpus <= self.gpus
     }
 
+    /// Returns of each resource the less of both.
+    #[must_use]
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
+    /// Returns of each resource the more of both.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
+    /// Returns both together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
     /// Returns what is left without `need`, 0 where there isn't so much.
     #[must_use]
     pub fn minus(&self, need: &Self) -> Self {
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -83,7 +83,7 @@
     pub fn list_changed(&mut self, now: Millis, changes: Vec<TargetChange>) {
         for change in changes {
             match change {
-                TargetChange::There(entry) => self.listed(entry),
+                TargetChange::There(entry) => self.listed(now, entry),
                 TargetChange::Gone(id) => self.unlisted(now, &id),
                 TargetChange::Unusable(entry) => self.entry_unusable(&entry.id),
             }
@@ -103,7 +103,7 @@
         }
     }
 
-    fn listed(&mut self, entry: TargetEntry) {
+    fn listed(&mut self, now: Millis, entry: TargetEntry) {
         let id = entry.id.clone();
         let Some(target) = self.targets.get_mut(&id) else {
             self.targets.insert(id, Target::new(entry));
@@ -112,7 +112,7 @@
         };
         let leaves = entry.leaving && !target.entry.leaving;
         let usable_again = std::mem::take(&mut target.entry_unusable);
-        target.entry = entry;
+        let capacity = target.take_entry(now, entry);
         target.unlisted_since = None;
         self.unlisted.remove(&id);
         if leaves {
@@ -121,6 +121,7 @@
         if usable_again {
             self.record_target(&id, TargetBelief::Usable, BeliefSource::List);
         }
+        self.record_capacity(&id, capacity, BeliefSource::List);
     }
 
     /// Takes a known target out of use whose entry names none any more.
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -8,6 +8,7 @@
 //! carry out [`TargetLeases::take_actions`].
 
 mod attempt;
+mod capacity;
 mod claims;
 mod ends;
 mod lease;
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -91,8 +91,11 @@
                 clock,
                 running,
                 ended,
+                capacity,
                 ..
             }) => {
+                let told = target.take_listed_capacity(asked, capacity);
+                self.record_capacity(id, told, BeliefSource::Renewal);
                 let listing = Listing {
                     asked,
                     clock,
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -16,6 +16,7 @@
 use crate::Millis;
 
 use super::attempt::{Attempt, Owner, StopStage};
+use super::capacity::Capacity;
 use super::lease::{Lease, LeaseStage};
 
 /// What a target's clock showed, and when on this host's clock.
@@ -35,8 +36,9 @@
 /// One target as this host sees it.
 #[derive(Debug)]
 pub(super) struct Target {
-    /// What the platform's list says of it.
+    /// What the platform's list says of it, but for the capacity: that which is in force.
     pub(super) entry: TargetEntry,
+    pub(super) capacity: Capacity,
     /// Since when the list doesn't show it, if it doesn't.
     pub(super) unlisted_since: Option<Millis>,
     /// Whether its entry names no target to use; `entry` is the last one that did.
@@ -54,6 +56,7 @@
     /// Creates a target that this host doesn't hold.
     pub(super) fn new(entry: TargetEntry) -> Self {
         Self {
+            capacity: Capacity::new(entry.capacity),
             entry,
             unlisted_since: None,
             entry_unusable: false,
@@ -72,6 +75,7 @@
         self.reservation = None;
         self.clock = None;
         self.born = None;
+        self.forget_listed_capacity();
         self.health.forget_silence();
     }
 
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -12,7 +12,6 @@
 use crate::decision::{BeliefSource, TargetBelief};
 use crate::message::{FreeResources, TaskOrder};
 use crate::rules::draining::Halls;
-use crate::rules::target_choice;
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -68,7 +67,7 @@
         }
         let mut only_draining = false;
         for target in self.targets.values() {
-            if !target_choice::could_run(&target.entry, order) {
+            if !target.could_run(order) {
                 continue;
             }
             if !self.is_draining(&target.entry.hall) {
--- /dev/null
+++ b/crates/dispatcher-core/tests/shrinking_capacity.rs
@@ -0,0 +1,240 @@
+//! Targets whose capacity shrinks and grows while they run, as their entries and their
+//! listings tell: nothing is started over it, and what runs goes on.
+
+mod support;
+
+use gannetridge_dispatcher_core::decision::EntryFault;
+use gannetridge_dispatcher_core::event::{
+    Born, ListedAttempt, ListedEnd, ListedOutcome, TargetChange,
+};
+use gannetridge_dispatcher_core::message::AttemptId;
+use gannetridge_dispatcher_core::spec::Resources;
+use gannetridge_dispatcher_core::{Event, TargetReply};
+use support::{case, ended, step, target, Rig};
+
+type Told = Option<Result<Resources, EntryFault>>;
+
+fn cores(cores: u32) -> Told {
+    Some(Ok(target("near", cores).capacity))
+}
+
+/// The entry tells another capacity.
+fn entry(rig: &mut Rig, cores: u32) {
+    let entry = target("near", cores);
+    rig.event(Event::TargetsChanged(vec![TargetChange::There(entry)]));
+}
+
+/// Answers the renewals that were sent; returns how many.
+fn answer(rig: &mut Rig, capacity: &Told, running: &[AttemptId], ended: &[ListedEnd]) -> usize {
+    let renewals = rig.renewals();
+    for (call, _) in &renewals {
+        let running = running.iter().map(|id| ListedAttempt {
+            id: id.clone(),
+            percent: None,
+        });
+        let reply = TargetReply::Listing {
+            clock: rig.now + 500_000,
+            running: running.collect(),
+            ended: ended.to_vec(),
+            born: Some(Born(1)),
+            capacity: capacity.clone(),
+        };
+        rig.target_reply(*call, reply);
+    }
+    renewals.len()
+}
+
+/// Lets the target list what it has.
+fn list(rig: &mut Rig, capacity: &Told, running: &[AttemptId]) {
+    rig.pass(10);
+    assert!(answer(rig, capacity, running, &[]) > 0, "a renewal is due");
+}
+
+/// A host that holds a target of 16 cores on which so many tasks of 4 cores run.
+fn running(tasks: u32) -> (Rig, Vec<AttemptId>) {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    let ids = submit(&mut rig, 1, tasks);
+    assert_eq!(ids.len(), tasks as usize);
+    (rig, ids)
+}
+
+/// Submits a job of tasks of 4 cores; returns those that start at once, and are accepted.
+fn submit(rig: &mut Rig, request_id: u64, tasks: u32) -> Vec<AttemptId> {
+    let id = format!("{request_id:016x}");
+    rig.submit(request_id, &id, vec![step(tasks, 4_000, 400)], 1_500);
+    started(rig)
+}
+
+/// Accepts the starts that were sent.
+fn started(rig: &mut Rig) -> Vec<AttemptId> {
+    let clock = rig.now + 500_000;
+    let starts = rig.starts().into_iter().map(|(call, _, id)| {
+        rig.target_reply(call, TargetReply::Accepted { clock });
+        id
+    });
+    starts.collect()
+}
+
+case!(a_listing_holds_against_the_entry, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(8), &ids);
+    assert_eq!(submit(&mut rig, 2, 3).len(), 1, "of 8 cores 4 are in use");
+});
+
+case!(an_entry_that_changes_later_holds_against_the_listing, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(12), &ids);
+    entry(&mut rig, 4);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+});
+
+case!(an_entry_that_is_as_it_was_tells_nothing, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(4), &ids);
+    entry(&mut rig, 16);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+});
+
+case!(an_entry_from_before_the_listing_allows_no_start, {
+    let (mut rig, ids) = running(1);
+    // The target said 12 and then 4; its entry of 12 comes late.
+    list(&mut rig, &cores(4), &ids);
+    entry(&mut rig, 12);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+    // A listing that was asked for before the entry came tells nothing newer.
+    answer(&mut rig, &cores(4), &ids, &[]);
+    assert_eq!(started(&mut rig), []);
+    list(&mut rig, &cores(4), &ids);
+    assert_eq!(started(&mut rig), []);
+});
+
+case!(growth_that_the_entry_tells_is_asked_for_at_once, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.pass(3_000);
+    assert_eq!(answer(&mut rig, &cores(4), &[], &[]), 1);
+    rig.pass(100);
+    assert_eq!(rig.renewals().len(), 0, "an idle target is asked rarely");
+    entry(&mut rig, 8);
+    assert_eq!(submit(&mut rig, 2, 2).len(), 1);
+    assert_eq!(answer(&mut rig, &cores(8), &[], &[]), 1);
+    // That one was asked for as the entry came, and may have been made before.
+    list(&mut rig, &cores(8), &[]);
+    assert_eq!(started(&mut rig).len(), 1);
+});
+
+case!(starts_on_their_way_count_while_it_shrinks, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.submit(1, "0000000000000001", vec![step(4, 4_000, 400)], 1_500);
+    let on_their_way = rig.starts();
+    assert_eq!(on_their_way.len(), 4);
+    entry(&mut rig, 12);
+    let ids: Vec<AttemptId> = on_their_way.iter().map(|start| start.2.clone()).collect();
+    list(&mut rig, &cores(12), &ids[..1]);
+    let end = [ended(1, &ids[0], ListedOutcome::Done)];
+    rig.pass(10);
+    answer(&mut rig, &cores(12), &ids[1..], &end);
+    assert_eq!(submit(&mut rig, 2, 1), [], "three of 4 cores fill 12");
+});
+
+case!(below_what_runs_nothing_starts_and_nothing_stops, {
+    let (mut rig, ids) = running(4);
+    list(&mut rig, &cores(5), &ids);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+    let end = [ended(1, &ids[0], ListedOutcome::Done)];
+    rig.pass(10);
+    answer(&mut rig, &cores(5), &ids[1..], &end);
+    assert_eq!(started(&mut rig), [], "12 cores are in use of 5");
+    assert_eq!(rig.stops(), []);
+    rig.pass(10);
+    let ends: Vec<ListedEnd> = (1..4)
+        .map(|at| ended(1 + at as u64, &ids[at], ListedOutcome::Done))
+        .collect();
+    answer(&mut rig, &cores(5), &[], &ends);
+    assert_eq!(started(&mut rig).len(), 1);
+    assert!(rig.answer_to(1).is_some(), "what ran went on to its end");
+});
+
+case!(what_is_being_stopped_counts, {
+    let (mut rig, ids) = running(2);
+    list(&mut rig, &cores(8), &ids);
+    rig.event(Event::CallerGone {
+        request_id: gannetridge_dispatcher_core::RequestId(1),
+    });
+    assert_eq!(rig.stops().len(), 2);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+    rig.pass(10);
+    let ends = [1, 2].map(|at| ended(at as u64, &ids[at - 1], ListedOutcome::Ended));
+    answer(&mut rig, &cores(8), &[], &ends);
+    assert_eq!(started(&mut rig).len(), 1);
+});
+
+case!(to_nothing_and_back, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(0), &ids);
+    assert_eq!(submit(&mut rig, 2, 1), []);
+    rig.pass(100);
+    assert_eq!(rig.stops(), []);
+    list(&mut rig, &cores(16), &ids);
+    assert_eq!(started(&mut rig).len(), 1);
+});
+
+case!(a_capacity_that_cannot_be_read_changes_nothing, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(8), &ids);
+    list(&mut rig, &Some(Err(EntryFault::Fields)), &ids);
+    assert_eq!(submit(&mut rig, 2, 3).len(), 1, "8 cores still hold");
+});
+
+case!(
+    a_listing_that_no_longer_tells_leaves_a_later_entry_in_force,
+    {
+        let (mut rig, ids) = running(1);
+        list(&mut rig, &cores(4), &ids);
+        list(&mut rig, &None, &ids);
+        assert_eq!(submit(&mut rig, 2, 1), [], "what was told last holds");
+        entry(&mut rig, 8);
+        list(&mut rig, &None, &ids);
+        list(&mut rig, &None, &ids);
+        assert_eq!(started(&mut rig).len(), 1);
+    }
+);
+
+case!(another_life_begins_with_its_entry, {
+    let (mut rig, ids) = running(1);
+    list(&mut rig, &cores(4), &ids);
+    rig.pass(10);
+    for (call, _) in rig.renewals() {
+        let reply = TargetReply::Listing {
+            clock: 40,
+            running: Vec::new(),
+            ended: Vec::new(),
+            born: Some(Born(2)),
+            capacity: None,
+        };
+        rig.target_reply(call, reply);
+    }
+    rig.pass(10);
+    for (call, _) in rig.renewals() {
+        rig.listing(call, &[], &[]);
+    }
+    assert_eq!(
+        submit(&mut rig, 2, 4).len(),
+        4,
+        "of 16 cores none is in use"
+    );
+});
+
+case!(what_is_left_is_never_below_nothing, {
+    let has = Resources {
+        cpu: 4_000,
+        memory_mb: 10,
+        gpus: 1,
+    };
+    let more = Resources {
+        cpu: 4_001,
+        memory_mb: 10,
+        gpus: 2,
+    };
+    assert_eq!(has.minus(&more), Resources::default());
+    assert!(!has.minus(&more).fits(&has));
+});
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -255,6 +255,7 @@
             running: running.iter().map(without_progress).collect(),
             ended: ended.to_vec(),
             born: None,
+            capacity: None,
         };
         self.target_reply(call, reply);
     }
--- a/crates/dispatcher-core/tests/target_leases.rs
+++ b/crates/dispatcher-core/tests/target_leases.rs
@@ -290,6 +290,7 @@
             }],
             ended: Vec::new(),
             born: None,
+            capacity: None,
         };
         rig.target_reply(call, reply);
     }
--- a/crates/dispatcher-core/tests/target_lives.rs
+++ b/crates/dispatcher-core/tests/target_lives.rs
@@ -29,6 +29,7 @@
         running: running.collect(),
         ended: ended.to_vec(),
         born,
+        capacity: None,
     }
 }
 
--- a/crates/dispatcher-sim/src/target.rs
+++ b/crates/dispatcher-sim/src/target.rs
@@ -289,6 +289,7 @@
             running: self.attempts.iter().map(listed).collect(),
             ended: self.ended.clone(),
             born: Some(self.born),
+            capacity: None,
         }
     }
 }
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -73,6 +73,16 @@
         Decision::Target { target, state, by } => {
             info!(event = "target", %target, state = state.as_str(), by = by.as_str());
         }
+        Decision::TargetCapacity {
+            target,
+            capacity,
+            used,
+            by,
+        } => {
+            let (cpu, used_cpu) = (capacity.cpu, used.cpu);
+            let (memory_mb, gpus) = (capacity.memory_mb, capacity.gpus);
+            info!(event = "target-capacity", %target, cpu, memory_mb, gpus, used_cpu, by = by.as_str());
+        }
         Decision::Peer {
             peer,
             state,
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,7 +2,7 @@
 //!
 //! `docs/OPERATIONS.md` lists them; `tests/operator_view.rs` holds their names and labels.
 
-use gannetridge_dispatcher_core::decision::{EndCause, EntryFault};
+use gannetridge_dispatcher_core::decision::{EndCause, EntryFault, TargetBelief};
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::{Decision, Millis};
 use gannetridge_net::HttpReply;
@@ -30,6 +30,8 @@
     ends: Counter<u64>,
     handed_over: Counter<u64>,
     stops: Counter<u64>,
+    capacity_changes: Counter<u64>,
+    unusable_capacities: Counter<u64>,
     took: Histogram<f64>,
     over_objective: Histogram<f64>,
     attempt_took: Histogram<f64>,
@@ -76,6 +78,14 @@
             ends: counter("run_ends", "Ends of runs, by how and what showed it"),
             handed_over: counter("tasks_asked", "Tasks handed to peers"),
             stops: counter("stops", "Runs that were to be ended, by reason"),
+            capacity_changes: counter(
+                "capacity_changes",
+                "Changes of what targets have, by what told them",
+            ),
+            unusable_capacities: counter(
+                "unusable_capacities",
+                "Targets that began to list a capacity that can't be read",
+            ),
             took: histogram("job_ms", "From the request to its answer", &MS),
             over_objective: histogram("job_over_aim", "Response over aim", &RATIO),
             attempt_took: histogram("run_ms", "From a start to its end", &MS),
@@ -135,6 +145,14 @@
             }
             Decision::Configuration { version, .. } => self.version.record(*version, &[]),
             Decision::Store { reachable } => self.store.record(u64::from(*reachable), &[]),
+            Decision::TargetCapacity { by, .. } => {
+                let by = KeyValue::new("by", by.as_str());
+                self.capacity_changes.add(1, &[by]);
+            }
+            Decision::Target {
+                state: TargetBelief::CapacityUnusable,
+                ..
+            } => self.unusable_capacities.add(1, &[]),
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
             | Decision::HallDraining { .. }
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -13,6 +13,7 @@
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
+use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Safeguards, Settings};
 use serde_json::Value;
 
@@ -38,6 +39,14 @@
     }
 }
 
+fn resources(cpu: u32) -> Resources {
+    Resources {
+        cpu,
+        memory_mb: 64,
+        gpus: 0,
+    }
+}
+
 fn job_ended(cause: EndCause) -> Decision {
     Decision::JobEnded {
         job: "0123456789abcdef".into(),
@@ -99,6 +108,17 @@
             state: TargetBelief::Silent,
             by: BeliefSource::Renewal,
         },
+        Decision::Target {
+            target: "target-7".into(),
+            state: TargetBelief::CapacityUnusable,
+            by: BeliefSource::Renewal,
+        },
+        Decision::TargetCapacity {
+            target: "target-7".into(),
+            capacity: resources(2_000),
+            used: resources(7_000),
+            by: BeliefSource::Renewal,
+        },
         Decision::Peer {
             peer: "host-b".into(),
             state: PeerState::Silent,
