Count crashes under a task, let suspects run alone, and give up the bad ones

Cause: a task that crashes each target that starts it was taken for lost and tried again beside others until its deadline; nobody kept how many targets had crashed under it, so that it was started over and over, also where its job came again.

Change: rules/crashes.rs says what a crash under a task is, who is suspect, when one runs alone and when it is given up. A holder tells the crash as the end of the attempt; the owner counts over attempts, remembers as long as a caller may come again and tells the hosts of its hall. Suspects are started by start_alone here and by PlaceAlone at peers. A job with a task that is given up ends as failed (cause crashing).

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -10,7 +10,7 @@
 
 pub use texts::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
-    StopReason, StoreReading, TargetBelief,
+    StopReason, StoreReading, Suspicion, TargetBelief,
 };
 
 /// A decision, or a change of what the host believes.
@@ -105,6 +105,17 @@
         /// Why.
         reason: StopReason,
     },
+    /// What the host believes of a task changed under which a target crashed.
+    TaskSuspected {
+        /// The task.
+        task: Name,
+        /// How many targets crashed while it was alone there.
+        alone: u32,
+        /// How many crashed while others ran there too.
+        beside_others: u32,
+        /// The new belief.
+        state: Suspicion,
+    },
     /// What the host believes of a target changed.
     Target {
         /// The target.
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -37,6 +37,8 @@
         Done = "done",
         /// A task failed as often as its queue allows.
         AttemptsExhausted = "attempts",
+        /// Targets crashed under one of its tasks; see `rules::crashes`.
+        Crashing = "crashing",
         /// The deadline has passed, or what is left can't end before it.
         Deadline = "deadline",
         /// No task started in the part of the time in which waiting pays.
@@ -134,6 +136,18 @@
     }
 }
 
+named! {
+    /// What a host came to believe of a task under which a target crashed.
+    Suspicion {
+        /// It runs alone on a target, or does so if one is empty soon.
+        Suspect = "suspect",
+        /// It is done.
+        Cleared = "cleared",
+        /// It is started no more.
+        GivenUp = "given up",
+    }
+}
+
 named! {
     /// What a host came to believe of a target.
     TargetBelief {
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 //! [`Dispatcher::next_timer`].
 
 mod caller_requests;
+mod crash_news;
 mod draining;
 mod owner_leases;
 mod peer_calls;
--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -35,6 +35,7 @@
     Reservation,
     Stop,
     Ended,
+    Crashes,
     Configuration,
     StoreNews {
         /// When it was sent.
@@ -127,8 +128,14 @@
         });
     }
 
-    /// Hands tasks to a peer.
-    pub(super) fn send_place(&mut self, now: Millis, name: &Name, orders: Vec<TaskOrder>) {
+    /// Hands tasks to a peer; `request` makes the request of them.
+    pub(super) fn send_place(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        orders: Vec<TaskOrder>,
+        request: fn(Vec<TaskOrder>) -> Request,
+    ) {
         let ids: Vec<AttemptId> = orders.iter().map(|order| order.id.clone()).collect();
         if let (Some(first), Some(peer)) = (ids.first(), self.peers.get_mut(name)) {
             peer.begin_use(now);
@@ -140,7 +147,7 @@
                 age_ms,
             });
         }
-        self.call_peer(now, name, Request::Place(orders), Purpose::Place(ids));
+        self.call_peer(now, name, request(orders), Purpose::Place(ids));
     }
 
     pub(super) fn peer_replied(
@@ -221,7 +228,7 @@
                     self.fetch_configuration(now, name);
                 }
             }
-            Purpose::Demand => {}
+            Purpose::Demand | Purpose::Crashes => {}
             Purpose::Place(ids) => self.place_replied(now, name, &ids, reply),
             Purpose::Reservation => {
                 if !matches!(body(reply), Some(ReplyBody::Interested(true))) {
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -13,13 +13,16 @@
     AttemptEnd, AttemptId, AttemptOutcome, Envelope, FreeResources, Heartbeat, HeartbeatReply,
     Reply, ReplyBody, Request, TaskOrder,
 };
-use crate::targets::{Owner, OwnerSession};
+use crate::targets::{Owner, OwnerSession, TargetLeases};
 use crate::Millis;
 
 use super::peer_calls::SEED_SESSION;
 use super::placement::MAX_SCHEDULED;
 use super::Dispatcher;
 
+/// Starts a task on a target; returns whether there was one.
+type StartTask = fn(&mut TargetLeases, Millis, &Owner, &TaskOrder) -> bool;
+
 impl Dispatcher {
     pub(super) fn peer_asks(&mut self, now: Millis, request_id: RequestId, envelope: Envelope) {
         let name = envelope.from.name.clone();
@@ -92,7 +95,18 @@
                 self.fetch_configuration(now, name);
                 reply
             }
-            Request::Place(orders) => self.asked_to_place(now, name, session, &orders),
+            Request::Place(orders) => {
+                let start = TargetLeases::start;
+                self.asked_to_place(now, name, session, &orders, start)
+            }
+            Request::PlaceAlone(orders) => {
+                let start = TargetLeases::start_alone;
+                self.asked_to_place(now, name, session, &orders, start)
+            }
+            Request::Crashes(records) => {
+                self.jobs.told_crashes(now, &records);
+                ReplyBody::Acknowledged
+            }
             Request::Demand(demand) => {
                 if let Some(peer) = self.peers.get_mut(name) {
                     peer.set_demand(now, demand);
@@ -161,13 +175,14 @@
         })
     }
 
-    /// Starts those of a peer's tasks for which there is a target.
+    /// Starts those of a peer's tasks for which there is a target, as `start` does.
     fn asked_to_place(
         &mut self,
         now: Millis,
         name: &Name,
         session: OwnerSession,
         orders: &[TaskOrder],
+        start: StartTask,
     ) -> ReplyBody {
         let peer = self.peers.get(name);
         if !peer.is_some_and(|peer| peer.owner_lease.is_valid()) {
@@ -180,7 +195,7 @@
         let open = self.stopping.is_none();
         let mut started = Vec::new();
         for (position, order) in orders.iter().enumerate() {
-            if open && self.targets.start(now, &owner, order) {
+            if open && start(&mut self.targets, now, &owner, order) {
                 started.push(position as u32);
             }
         }
@@ -212,7 +227,8 @@
         let mut orders = Vec::new();
         for task in self.jobs.waiting(now, MAX_SCHEDULED) {
             let same_pool = *self.jobs.pool(&task.job) == free.pool;
-            if same_pool && resources.fits(&task.resources) {
+            // Others may run on the target where these resources are.
+            if !task.alone && same_pool && resources.fits(&task.resources) {
                 resources = resources.minus(&task.resources);
                 orders.push(self.jobs.order(&task.job, task.index));
                 self.jobs.handed_over(now, &task.job, task.index, name);
@@ -220,7 +236,7 @@
         }
         let interested = !orders.is_empty();
         if interested {
-            self.send_place(now, name, orders);
+            self.send_place(now, name, orders, Request::Place);
         }
         ReplyBody::Interested(interested)
     }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -58,6 +58,8 @@
     left: Vec<WaitingTask>,
     /// Tasks to be handed to peers.
     batches: BTreeMap<Name, Vec<TaskOrder>>,
+    /// Those of them that are to run alone on a target.
+    alone: BTreeMap<Name, Vec<TaskOrder>>,
     not_here: NotFound,
     not_at_peers: NotFound,
 }
@@ -76,7 +78,10 @@
         }
         self.reserve_for_peers(now, &mut pass, None);
         for (peer, orders) in pass.batches {
-            self.send_place(now, &peer, orders);
+            self.send_place(now, &peer, orders, Request::Place);
+        }
+        for (peer, orders) in pass.alone {
+            self.send_place(now, &peer, orders, Request::PlaceAlone);
         }
         self.advertise(now, &pass.left);
     }
@@ -103,7 +108,7 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
-        if here && self.targets.start(now, &self.as_owner(), &order) {
+        if here && self.start_here(now, &order, task.alone) {
             self.jobs.started_here(now, &task.job, task.index);
             return;
         }
@@ -113,7 +118,12 @@
             Some(peer) if peer.has_fresh_clock => {
                 self.jobs
                     .handed_over(now, &task.job, task.index, &peer.name);
-                pass.batches.entry(peer.name).or_default().push(order);
+                let batches = if task.alone {
+                    &mut pass.alone
+                } else {
+                    &mut pass.batches
+                };
+                batches.entry(peer.name).or_default().push(order);
             }
             Some(peer) => {
                 self.ask_clock(now, &peer.name);
@@ -123,6 +133,16 @@
         }
     }
 
+    /// Starts a task on a target of this host, if there is one; with `alone` on an empty one.
+    fn start_here(&mut self, now: Millis, order: &TaskOrder, alone: bool) -> bool {
+        let owner = self.as_owner();
+        if alone {
+            self.targets.start_alone(now, &owner, order)
+        } else {
+            self.targets.start(now, &owner, order)
+        }
+    }
+
     /// Returns this host as the owner of attempts on its own targets.
     fn as_owner(&self) -> Owner {
         Owner {
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -43,6 +43,8 @@
     last_event: Millis,
     pub(super) next_tick: Millis,
     next_assignment: Millis,
+    /// Crashes aren't told of before this time.
+    pub(super) next_crash_news: Millis,
 }
 
 impl Timers {
@@ -71,6 +73,7 @@
         self.targets.tick(now);
         self.send_heartbeats(now);
         self.ask_for_store_news(now);
+        self.tell_crashes(now);
         self.peers.forget(now);
         self.stop_if_done(now);
     }
@@ -162,20 +165,24 @@
             if report.owner.host == self.own.name {
                 self.jobs.attempt_ended(now, &report.end);
             } else {
-                self.report_to_peer(report);
+                self.report_to_peer(now, report);
             }
         }
     }
 
     /// Reports an end to a peer, if it still waits for it.
-    fn report_to_peer(&mut self, report: EndReport) {
+    fn report_to_peer(&mut self, now: Millis, report: EndReport) {
+        let crashed = report.end.outcome.is_crash();
         let Some(peer) = self.peers.get_mut(&report.owner.host) else {
             return;
         };
         let same_session = peer.owner_session() == report.owner.session;
         let waits = same_session && peer.owner_lease.is_valid();
-        if report.wanted && waits {
+        // Crashes count for the task also where its job has ended.
+        if waits && (report.wanted || crashed) {
             peer.ends.push(report.end);
+        } else if crashed {
+            self.jobs.count_crash(now, &report.end);
         }
     }
 
--- a/crates/dispatcher-core/src/jobs/attempts.rs
+++ b/crates/dispatcher-core/src/jobs/attempts.rs
@@ -84,6 +84,7 @@
 
     /// Handles the end of an attempt.
     pub fn attempt_ended(&mut self, now: Millis, end: &AttemptEnd) {
+        self.count_crash(now, end);
         let Some(Found { job: id, index }) = self.find(&end.id) else {
             return;
         };
@@ -108,6 +109,10 @@
             Next::Done => TaskState::Done,
             Next::JobFails | Next::TryAgain => TaskState::Waiting,
         };
+        if consequence.next == Next::Done {
+            self.clear_suspicion(&end.id.task);
+        }
+        let job = self.jobs.get_mut(&id).expect("the job was found");
         match consequence.next {
             Next::Done if job.done() == job.tasks.len() => self.end(now, &id, EndCause::Done),
             Next::Done => job.unblock(),
--- a/crates/dispatcher-core/src/jobs/ending.rs
+++ b/crates/dispatcher-core/src/jobs/ending.rs
@@ -23,6 +23,8 @@
     pub fn tick(&mut self, now: Millis, starting: bool) {
         self.answers.retain(|_, answer| answer.until > now);
         self.next_attempts.retain(|_, next| next.until > now);
+        let jobs = &self.jobs;
+        self.crashed.expire(now, |job| jobs.contains_key(job));
         let due = self.jobs.iter().filter(|(_, job)| job.next_due <= now);
         let due: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
         let on_time_waits = self.on_time_waits();
@@ -141,7 +143,12 @@
     }
 }
 
-fn remember<T>(remembered: &mut BTreeMap<Name, Remembered<T>>, id: &Name, value: T, until: Millis) {
+pub(super) fn remember<T>(
+    remembered: &mut BTreeMap<Name, Remembered<T>>,
+    id: &Name,
+    value: T,
+    until: Millis,
+) {
     if remembered.len() >= MAX_REMEMBERED {
         remembered.pop_first();
     }
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 //! leaves in [`Jobs::take_stops`] and [`Jobs::take_actions`].
 
 mod attempts;
+mod crashes;
 mod ending;
 mod job;
 mod waiting;
@@ -25,6 +26,7 @@
 use crate::settings::Safeguards;
 use crate::Millis;
 
+use crashes::CrashedTasks;
 pub use job::Place;
 use job::{Job, Ready, Task};
 pub use waiting::{demand, WaitingTask};
@@ -83,6 +85,7 @@
     /// The first attempt's number of jobs that may be sent again, above all
     /// earlier ones.
     next_attempts: BTreeMap<Name, Remembered<u32>>,
+    crashed: CrashedTasks,
     stops: Vec<StopAttempt>,
     actions: Vec<Action>,
 }
@@ -169,7 +172,9 @@
         let deadline_ms = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let chain_ms = submit.spec.chain_ms();
         let objective_ms = queue.latency_objective(chain_ms);
-        let attempt = self.next_attempts.get(&id).map_or(1, |next| next.value);
+        let next = self.next_attempts.get(&id).map_or(1, |next| next.value);
+        let counted = self.crashed.latest_attempt(&id).unwrap_or(0);
+        let attempt = next.max(counted + 1);
         let mut tasks = Vec::new();
         for (step, spec) in submit.spec.steps.iter().enumerate() {
             tasks.extend((0..spec.count).map(|_| Task::new(step, attempt)));
@@ -201,5 +206,6 @@
         self.by_request.insert(request_id, id.clone());
         self.jobs.insert(id.clone(), job);
         self.update_ready(now, &id);
+        self.end_if_any_given_up(now, &id);
     }
 }
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -27,6 +27,8 @@
     pub resources: Resources,
     /// Whether peers may be asked that are only believed to have the resources.
     pub may_ask: bool,
+    /// Whether it is to run alone on a target.
+    pub alone: bool,
 }
 
 impl Jobs {
@@ -62,6 +64,7 @@
                         priority,
                         resources: job.spec.steps[task.step].resources,
                         may_ask: task.ask_after <= now,
+                        alone: self.runs_alone(now, || self.order(&ready.job, index).id.task),
                     });
                 }
             }
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -219,6 +219,10 @@
     /// The target has seen this or a later attempt of the task.
     #[serde(rename = "Outnumbered")]
     StaleAttempt,
+    /// The target crashed while only this attempt ran there.
+    CrashedAlone,
+    /// The target crashed while others ran there too.
+    CrashedBesideOthers,
 }
 
 impl AttemptOutcome {
@@ -230,8 +234,16 @@
             Self::Failed => "failed",
             Self::Lost => "lost",
             Self::StaleAttempt => "outnumbered",
+            Self::CrashedAlone => "crashed",
+            Self::CrashedBesideOthers => "crashed beside others",
         }
     }
+
+    /// Returns whether the target crashed.
+    #[must_use]
+    pub fn is_crash(self) -> bool {
+        matches!(self, Self::CrashedAlone | Self::CrashedBesideOthers)
+    }
 }
 
 /// The end of an attempt.
@@ -245,6 +257,19 @@
     pub target: Name,
 }
 
+/// How many targets crashed under a task, as one host counted them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The task's name.
+    pub task: Name,
+    /// The latest attempt that was counted.
+    pub attempt: u32,
+    /// While it was alone there.
+    pub alone: u32,
+    /// While others ran there too.
+    pub beside_others: u32,
+}
+
 /// What a host asks of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
@@ -285,6 +310,11 @@
         /// The version up to which the sender knows the list of targets, 0 for none.
         after: u64,
     },
+    /// Asks to start those tasks for which there is a target on which nothing else runs, nor
+    /// will beside them. Hosts of earlier releases can't read this: they start none.
+    PlaceAlone(Vec<TaskOrder>),
+    /// Tells of tasks under which targets crashed. Hosts of earlier releases can't read this.
+    Crashes(Vec<CrashRecord>),
 }
 
 impl Request {
@@ -294,6 +324,8 @@
         match self {
             Self::Heartbeat(_) => "beat",
             Self::Place(_) => "place",
+            Self::PlaceAlone(_) => "place-alone",
+            Self::Crashes(_) => "crashes",
             Self::Demand(_) => "want",
             Self::Reservation(_) => "offer",
             Self::Stop { .. } => "stop",
--- /dev/null
+++ b/crates/dispatcher-core/src/rules/crashes.rs
@@ -0,0 +1,119 @@
+//! What follows for a task from targets that crashed while it ran there.
+//!
+//! **Rule.** *What is a crash.* A target crashed under the attempts that it had, or may have had,
+//! when it has started again under its id, when its address is another process's or nobody's, and
+//! it hadn't said before that it leaves. One that only stays silent until its lease is over
+//! isn't taken for crashed: nothing tells it from one whose link is cut, or that stands still.
+//!
+//! *Who is suspect.* All tasks that a crashed target had. One that was alone there is blamed
+//! more than one that ran beside others.
+//!
+//! *Quarantine.* A suspect runs alone on a target. One that ran beside others once runs beside
+//! others again if no empty target was found in `QUARANTINE_WAIT_MS`; all others wait for one.
+//! A task that is done is cleared.
+//!
+//! *Giving up.* A task is given up, and its job fails, once two targets crashed under it, while
+//! it was alone on one of them at least, or once `MOST_CRASHES` did.
+//!
+//! **Inputs.** How many targets crashed under a task, alone and beside others; ms since the last
+//! of them. Callers need that such a task neither takes their other tasks' targets with it nor
+//! runs on and on, and that a task that was only beside one is done in its time. One task so
+//! takes `MOST_CRASHES` targets at most, and neighbours with it on the first two at most.
+//! **Gives up.** A task that was alone on two targets that crashed by themselves fails.
+
+use crate::message::AttemptOutcome;
+use crate::Millis;
+
+/// A task is given up after so many crashes, whoever ran beside it: the users allow none to be
+/// started over and over after three.
+const MOST_CRASHES: u32 = 3;
+/// A task is given up after so many crashes if it was alone at one of them: from the second on
+/// the users let a job be shown as failed.
+const CRASHES_ONE_ALONE: u32 = 2;
+/// How long a task that ran beside others once waits for an empty target, in ms: where many
+/// targets crash by themselves and none is empty, waiting for longer would make it late.
+const QUARANTINE_WAIT_MS: Millis = 200;
+
+/// How a target was lost while attempts ran there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetLoss {
+    /// It doesn't answer.
+    Silent,
+    /// Its process is gone: nothing listens at its address, or another process does.
+    ProcessGone,
+    /// It has started again under its id.
+    Restarted,
+}
+
+/// Returns how an attempt ended on a target that was lost. `leaving` tells whether the target
+/// had said that it leaves, `attempts` how many may have been running there.
+#[must_use]
+pub fn outcome(loss: TargetLoss, leaving: bool, attempts: usize) -> AttemptOutcome {
+    match loss {
+        TargetLoss::Silent => AttemptOutcome::Lost,
+        TargetLoss::ProcessGone | TargetLoss::Restarted if leaving => AttemptOutcome::Lost,
+        TargetLoss::ProcessGone | TargetLoss::Restarted if attempts <= 1 => {
+            AttemptOutcome::CrashedAlone
+        }
+        TargetLoss::ProcessGone | TargetLoss::Restarted => AttemptOutcome::CrashedBesideOthers,
+    }
+}
+
+/// How many targets crashed under a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crashes {
+    /// While it was alone there.
+    pub alone: u32,
+    /// While others ran there too.
+    pub beside_others: u32,
+}
+
+/// What becomes of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may run beside others.
+    Trusted,
+    /// It runs alone.
+    Quarantined,
+    /// It is given up.
+    GivenUp,
+}
+
+impl Crashes {
+    /// Adds a crash, if an attempt ended by one; returns whether it did.
+    pub fn add(&mut self, outcome: AttemptOutcome) -> bool {
+        match outcome {
+            AttemptOutcome::CrashedAlone => self.alone += 1,
+            AttemptOutcome::CrashedBesideOthers => self.beside_others += 1,
+            AttemptOutcome::Done
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Lost
+            | AttemptOutcome::StaleAttempt => return false,
+        }
+        true
+    }
+
+    /// Returns what is known by either of two that counted for themselves.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            alone: self.alone.max(other.alone),
+            beside_others: self.beside_others.max(other.beside_others),
+        }
+    }
+
+    /// Returns what becomes of the task, `since_ms` after the last crash.
+    #[must_use]
+    pub fn verdict(&self, since_ms: Millis) -> Verdict {
+        let all = self.alone + self.beside_others;
+        let one_alone = self.alone > 0 && all >= CRASHES_ONE_ALONE;
+        let maybe_unlucky = self.alone == 0 && all == 1;
+        if all >= MOST_CRASHES || one_alone {
+            Verdict::GivenUp
+        } else if all == 0 || (maybe_unlucky && since_ms >= QUARANTINE_WAIT_MS) {
+            Verdict::Trusted
+        } else {
+            Verdict::Quarantined
+        }
+    }
+}
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -21,6 +21,8 @@
 //! a task can't end in time even if it takes only `ESTIMATE_FLOOR` of its estimate; what
 //! runs is let run, since stopping it gains nothing.
 //!
+//! A job of which a task crashes its targets ends as failed; see [`super::crashes`].
+//!
 //! Only a job of which nothing can have begun is refused as not run: its caller
 //! may send it again without running anything twice. All others are unfinished.
 //!
@@ -129,7 +131,7 @@
     match cause {
         EndCause::Done => Answer::Completed,
         EndCause::Cancelled => Answer::Cancelled,
-        EndCause::AttemptsExhausted => Answer::Failed,
+        EndCause::AttemptsExhausted | EndCause::Crashing => Answer::Failed,
         EndCause::Draining if not_run => refused_while_draining(),
         EndCause::Draining
         | EndCause::Deadline
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -13,6 +13,7 @@
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | What follows from the end of an attempt? | [`retry`] |
+//! | Why does a task run alone, or no more? | [`crashes`] |
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`], [`draining`] |
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
@@ -32,6 +33,7 @@
 pub mod capacity;
 pub mod congestion;
 pub mod contention;
+pub mod crashes;
 pub mod draining;
 pub mod giving_up;
 pub mod heartbeat_intervals;
--- a/crates/dispatcher-core/src/rules/retry.rs
+++ b/crates/dispatcher-core/src/rules/retry.rs
@@ -2,7 +2,8 @@
 //!
 //! **Rule.** A task that is done is done. A failed one is tried again, elsewhere,
 //! until it failed as often as its queue allows; then its job fails. One that was
-//! lost, or could not begin, is tried again elsewhere and doesn't count as failed.
+//! lost, or could not begin, is tried again elsewhere and doesn't count as failed. So is one
+//! whose target crashed, as far as [`super::crashes`] doesn't give it up.
 //! Where the target has seen a later attempt, the next attempt's number passes it
 //! by `STALE_ATTEMPT_SKIP`.
 //!
@@ -78,7 +79,9 @@
             failed: true,
             ..again
         },
-        AttemptOutcome::Lost => again,
+        AttemptOutcome::Lost
+        | AttemptOutcome::CrashedAlone
+        | AttemptOutcome::CrashedBesideOthers => again,
         AttemptOutcome::StaleAttempt => Consequence {
             advance: STALE_ATTEMPT_SKIP,
             avoid_target: false,
--- a/crates/dispatcher-core/src/targets/claims.rs
+++ b/crates/dispatcher-core/src/targets/claims.rs
@@ -11,6 +11,7 @@
 use crate::message::HostInfo;
 use crate::rules::assignment::Candidates;
 use crate::rules::contention::{self, Response};
+use crate::rules::crashes::TargetLoss;
 use crate::Millis;
 
 use super::TargetLeases;
@@ -197,7 +198,8 @@
     /// Records that the target's process is another one by now.
     pub(super) fn incarnation_over(&mut self, now: Millis, id: &Name) {
         if let Some(target) = self.targets.get_mut(id) {
-            let reports = target.end_all(now, EndEvidence::WrongIncarnation);
+            let reports =
+                target.end_all(now, TargetLoss::ProcessGone, EndEvidence::WrongIncarnation);
             target.lease.give_up();
             target.forget();
             target.lease.backoff_until = now + contention::BACKOFF_MS;
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -6,6 +6,7 @@
 use crate::decision::EndEvidence;
 use crate::event::{ListedAttempt, ListedEnd, ListedOutcome};
 use crate::message::{AttemptEnd, AttemptId, AttemptOutcome};
+use crate::rules::crashes::{self, TargetLoss};
 use crate::Millis;
 
 use super::attempt::EndReport;
@@ -49,9 +50,16 @@
             .iter()
             .filter(|(id, attempt)| attempt.would_be_listed(listing.asked) && !is_listed(id));
         let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
+        let restarted = self.lost_outcome(TargetLoss::Restarted, self.lost_life.len());
         for id in over {
-            reports.extend(self.end(now, &id, AttemptOutcome::Lost, EndEvidence::NotListed));
+            let outcome = if self.lost_life.contains(&id) {
+                restarted
+            } else {
+                AttemptOutcome::Lost
+            };
+            reports.extend(self.end(now, &id, outcome, EndEvidence::NotListed));
         }
+        self.lost_life.retain(|id| self.attempts.contains_key(id));
         let mut running = listing.running.iter();
         let own_only = running.all(|listed| self.attempts.contains_key(&listed.id));
         self.lease.confirmed(now, own_only || !settles);
@@ -97,11 +105,22 @@
         })
     }
 
-    /// Ends all attempts as lost.
-    pub(super) fn end_all(&mut self, now: Millis, by: EndEvidence) -> Vec<EndReport> {
+    /// Ends all attempts, since the target was lost.
+    pub(super) fn end_all(
+        &mut self,
+        now: Millis,
+        loss: TargetLoss,
+        by: EndEvidence,
+    ) -> Vec<EndReport> {
         let ids: Vec<AttemptId> = self.attempts.keys().cloned().collect();
+        let outcome = self.lost_outcome(loss, ids.len());
         let ends = ids.iter();
-        ends.filter_map(|id| self.end(now, id, AttemptOutcome::Lost, by))
+        ends.filter_map(|id| self.end(now, id, outcome, by))
             .collect()
     }
+
+    /// Returns how attempts ended on this target that was lost while it had so many.
+    pub(super) fn lost_outcome(&self, loss: TargetLoss, attempts: usize) -> AttemptOutcome {
+        crashes::outcome(loss, self.entry.leaving, attempts)
+    }
 }
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -11,7 +11,8 @@
 
 use crate::decision::{BeliefSource, EndEvidence, TargetBelief};
 use crate::event::{Born, TargetReply};
-use crate::message::{AttemptId, AttemptOutcome};
+use crate::message::AttemptId;
+use crate::rules::crashes::TargetLoss;
 use crate::Millis;
 
 use super::attempt::EndReport;
@@ -89,6 +90,8 @@
         self.forget();
         self.born = born(reply);
         self.lease.begin_life(now, token);
+        self.lost_life = self.attempts.keys().cloned().collect();
+        let outcome = self.lost_outcome(TargetLoss::Restarted, self.lost_life.len());
         let attempts = self.attempts.iter();
         let over = attempts.filter(|(id, attempt)| {
             let known = attempt.confirmed;
@@ -99,8 +102,8 @@
         for attempt in self.attempts.values_mut() {
             attempt.request_stop(true);
         }
-        let (lost, by) = (AttemptOutcome::Lost, EndEvidence::WrongIncarnation);
-        let reports = over.iter().filter_map(|id| self.end(now, id, lost, by));
+        let by = EndEvidence::WrongIncarnation;
+        let reports = over.iter().filter_map(|id| self.end(now, id, outcome, by));
         let reports = reports.collect();
         // An order with a time of the old clock may have come to the new life: what runs there
         // from now on may then run for as long as it grants at all.
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -5,6 +5,7 @@
 
 use crate::action::TargetCall;
 use crate::decision::EndEvidence;
+use crate::rules::crashes::TargetLoss;
 use crate::Millis;
 
 use super::lease::LeaseStage;
@@ -26,7 +27,12 @@
             let silent = target.health.silent_since().is_some();
             let over = target.lease.attempts_are_over(now) || (!waits && silent);
             if !target.is_idle() && over {
-                let reports = target.end_all(now, EndEvidence::LeaseExpired);
+                let loss = if target.refuses {
+                    TargetLoss::ProcessGone
+                } else {
+                    TargetLoss::Silent
+                };
+                let reports = target.end_all(now, loss, EndEvidence::LeaseExpired);
                 self.reports.extend(reports);
                 target.doubt_life();
             }
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -28,8 +28,14 @@
         let Some(sent) = self.calls.remove(&call) else {
             return;
         };
-        if let Ok(reply) = &reply {
-            self.look_at_life(now, &sent, reply);
+        match &reply {
+            Ok(reply) => self.look_at_life(now, &sent, reply),
+            Err(SendFailure::Refused) => {
+                if let Some(target) = self.targets.get_mut(&sent.target) {
+                    target.refuses = true;
+                }
+            }
+            Err(SendFailure::NotSent | SendFailure::Unknown) => {}
         }
         let Sent {
             token,
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -19,22 +19,46 @@
     /// Starts a task if a target has the resources for it; see [`target_choice`].
     /// Returns whether it did.
     pub fn start(&mut self, now: Millis, owner: &Owner, order: &TaskOrder) -> bool {
+        let found = self.best_for(now, owner, order, |_| true);
+        if let Some(id) = &found {
+            self.start_on(now, id, owner, order);
+        }
+        found.is_some()
+    }
+
+    /// Starts a task if there is a target on which nothing else runs; nothing will beside it.
+    /// Returns whether it did. See [`crate::rules::crashes`].
+    pub fn start_alone(&mut self, now: Millis, owner: &Owner, order: &TaskOrder) -> bool {
+        let found = self.best_for(now, owner, order, Target::is_idle);
+        if let Some(id) = &found {
+            self.start_on(now, id, owner, order);
+            let target = self.targets.get_mut(id).expect("the target was found");
+            target.quarantine(&order.id);
+        }
+        found.is_some()
+    }
+
+    /// Returns the target on which a task is started now, among those that `allowed` picks.
+    fn best_for(
+        &self,
+        now: Millis,
+        owner: &Owner,
+        order: &TaskOrder,
+        allowed: impl Fn(&Target) -> bool,
+    ) -> Option<Name> {
         let known = self.tasks.contains(&order.id.task);
         if known || self.stopped_early.contains_key(&order.id) {
-            return false;
+            return None;
         }
         let fitting = self.usable_targets(now).filter(|target| {
-            !target.is_reserved_for_others(now, &owner.host)
+            allowed(target)
+                && !target.is_reserved_for_others(now, &owner.host)
                 && target_choice::suits(&target.entry, order)
                 && target.fits(order)
         });
         let cost = |target: &&Target| target.cost(now, order, self.far_slowdown);
         let best = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let Some(id) = best.map(|target| target.entry.id.clone()) else {
-            return false;
-        };
-        self.start_on(now, &id, owner, order);
-        true
+        best.map(|target| target.entry.id.clone())
     }
 
     fn start_on(&mut self, now: Millis, id: &Name, owner: &Owner, order: &TaskOrder) {
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -50,6 +50,13 @@
     /// When the life began that listed last, if it tells.
     pub(super) born: Option<Born>,
     reservation: Option<Reservation>,
+    /// The attempt beside which nothing else may run, while it is there.
+    alone: Option<AttemptId>,
+    /// Whether nothing listened at its address when it was called last.
+    pub(super) refuses: bool,
+    /// What it had when it was found to have started again, until a listing shows what became
+    /// of it.
+    pub(super) lost_life: Vec<AttemptId>,
 }
 
 impl Target {
@@ -66,6 +73,9 @@
             clock: None,
             born: None,
             reservation: None,
+            alone: None,
+            refuses: false,
+            lost_life: Vec::new(),
         }
     }
 
@@ -84,8 +94,22 @@
         self.attempts.is_empty()
     }
 
+    /// Returns whether an attempt runs that nothing else may run beside.
+    fn is_quarantined(&self) -> bool {
+        let alone = self.alone.as_ref();
+        alone.is_some_and(|id| self.attempts.contains_key(id))
+    }
+
+    /// Has nothing else run beside an attempt.
+    pub(super) fn quarantine(&mut self, id: &AttemptId) {
+        self.alone = Some(id.clone());
+    }
+
     /// Returns the free resources.
     pub(super) fn free(&self) -> Resources {
+        if self.is_quarantined() {
+            return Resources::default();
+        }
         let attempts = self.attempts.values();
         attempts.fold(self.entry.capacity, |free, attempt| {
             free.minus(&attempt.resources)
@@ -113,7 +137,7 @@
             let same_step = attempts.filter(|attempt| attempt.counts_for(limit));
             same_step.count() < limit.most as usize
         });
-        spread && self.free().fits(&order.resources)
+        spread && !self.is_quarantined() && self.free().fits(&order.resources)
     }
 
     /// Returns what an order costs here; see [`target_choice::cost`].
@@ -222,6 +246,7 @@
             clock,
         });
         self.health.answered();
+        self.refuses = false;
     }
 
     /// Records a call without reply; returns whether the target is silent.
--- /dev/null
+++ b/crates/dispatcher-core/tests/crashing_tasks.rs
@@ -0,0 +1,369 @@
+//! Tasks that crash the targets that start them, and the tasks that run beside them.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use gannetridge_dispatcher_core::event::{Born, ListedAttempt, ListedEnd, ListedOutcome};
+use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome, CrashRecord, Request};
+use gannetridge_dispatcher_core::rules::crashes::{outcome, Crashes, TargetLoss, Verdict};
+use gannetridge_dispatcher_core::{
+    Answer, Event, Millis, RequestId, SendFailure, TargetCall, TargetReply,
+};
+use support::{case, peer_info, step, target, Called, Rig};
+
+/// How long tasks run, how long one that crashes its target does before, and for how long that
+/// is down, in ms.
+const WORK_MS: Millis = 400;
+const CRASHES_AFTER_MS: Millis = 30;
+const DOWN_MS: Millis = 3_000;
+
+/// One target: what runs there, with when it ends.
+#[derive(Default)]
+struct FakeTarget {
+    running: BTreeMap<AttemptId, Millis>,
+    ended: Vec<ListedEnd>,
+    ends: u64,
+    lives: u64,
+    down_until: Millis,
+}
+
+impl FakeTarget {
+    fn end(&mut self, id: AttemptId, outcome: ListedOutcome) {
+        self.running.remove(&id);
+        self.ends += 1;
+        self.ended.push(ListedEnd {
+            number: self.ends,
+            id,
+            outcome,
+        });
+    }
+
+    fn listing(&mut self, clock: Millis, acknowledged: u64) -> TargetReply {
+        self.ended.retain(|end| end.number > acknowledged);
+        let running = self.running.keys().map(|id| ListedAttempt {
+            id: id.clone(),
+            percent: None,
+        });
+        TargetReply::Listing {
+            clock,
+            running: running.collect(),
+            ended: self.ended.clone(),
+            born: Some(Born(self.lives)),
+            capacity: None,
+        }
+    }
+}
+
+/// A crash: the task, and how many others ran there.
+type Crash = (String, usize);
+
+/// A host, its targets, and the tasks that crash them.
+struct Rack {
+    rig: Rig,
+    targets: BTreeMap<String, FakeTarget>,
+    bad: fn(&str) -> bool,
+    crashes: Vec<Crash>,
+    starts: BTreeMap<String, u32>,
+}
+
+impl Rack {
+    fn new(targets: usize, bad: fn(&str) -> bool) -> Self {
+        let entries: Vec<_> = (0..targets)
+            .map(|at| target(&format!("t-{at:02}"), 16))
+            .collect();
+        let fakes = entries
+            .iter()
+            .map(|entry| (entry.id.to_string(), FakeTarget::default()));
+        Self {
+            rig: Rig::holding_targets(&entries),
+            targets: fakes.collect(),
+            bad,
+            crashes: Vec::new(),
+            starts: BTreeMap::new(),
+        }
+    }
+
+    /// Lets the targets work and answer for so long.
+    fn pass(&mut self, ms: Millis) {
+        for _ in 0..ms / 10 {
+            self.work();
+            for called in std::mem::take(&mut self.rig.calls) {
+                let reply = self.answer(&called);
+                let call = called.call;
+                self.rig.event(Event::TargetReply { call, reply });
+            }
+            self.rig.pass(10);
+        }
+    }
+
+    fn work(&mut self) {
+        let now = self.rig.now;
+        for target in self.targets.values_mut() {
+            let over = target.running.iter().filter(|(_, until)| **until <= now);
+            let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
+            if let Some(bad) = over.iter().find(|id| (self.bad)(&id.task)) {
+                self.crashes
+                    .push((bad.task.to_string(), target.running.len() - 1));
+                *target = FakeTarget {
+                    lives: target.lives + 1,
+                    down_until: now + DOWN_MS,
+                    ..FakeTarget::default()
+                };
+                continue;
+            }
+            for id in over {
+                target.end(id, ListedOutcome::Done);
+            }
+        }
+    }
+
+    fn answer(&mut self, called: &Called) -> Result<TargetReply, SendFailure> {
+        let now = self.rig.now;
+        let clock = now + 500_000;
+        let target = self.targets.get_mut(&called.target).expect("a target");
+        if target.down_until > now {
+            return Err(SendFailure::Refused);
+        }
+        match &called.order {
+            TargetCall::Start(start) => {
+                let bad = (self.bad)(&start.id.task);
+                let work = if bad { CRASHES_AFTER_MS } else { WORK_MS };
+                target.running.insert(start.id.clone(), now + work);
+                *self.starts.entry(start.id.task.to_string()).or_default() += 1;
+                Ok(TargetReply::Accepted { clock })
+            }
+            TargetCall::Stop(id) => {
+                target.end(id.clone(), ListedOutcome::Ended);
+                Ok(TargetReply::Accepted { clock })
+            }
+            TargetCall::Renew { acknowledged, .. } => Ok(target.listing(clock, *acknowledged)),
+        }
+    }
+
+    fn submit(&mut self, number: u64) {
+        let steps = vec![step(1, 2_000, WORK_MS)];
+        self.rig.submit(number, &id(number), steps, 8_000);
+    }
+
+    fn answer_to(&self, number: u64) -> Option<&Answer> {
+        self.rig.answer_to(number)
+    }
+}
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+fn task(number: u64) -> String {
+    format!("{}.0.0.0", id(number))
+}
+
+fn only_the_first(name: &str) -> bool {
+    name.starts_with(&id(1))
+}
+
+fn one_in_twenty(name: &str) -> bool {
+    let job = u64::from_str_radix(&name[..16], 16).expect("a job's id");
+    job.is_multiple_of(20)
+}
+
+case!(
+    a_bad_task_takes_two_targets_and_its_neighbours_one_attempt,
+    {
+        let mut rack = Rack::new(6, only_the_first);
+        for number in 1..=8 {
+            rack.submit(number);
+        }
+        rack.pass(4_000);
+        assert_eq!(rack.crashes, [(task(1), 7), (task(1), 0)]);
+        assert_eq!(rack.answer_to(1), Some(&Answer::Failed));
+        for number in 2..=8 {
+            assert_eq!(rack.answer_to(number), Some(&Answer::Completed), "{number}");
+            assert_eq!(rack.starts[&task(number)], 2);
+        }
+    }
+);
+
+case!(five_of_a_hundred_tasks_crash_their_targets, {
+    let mut rack = Rack::new(40, one_in_twenty);
+    for number in 1..=100 {
+        rack.submit(number);
+    }
+    rack.pass(8_000);
+    for number in 1..=100 {
+        let name = task(number);
+        let crashes = rack.crashes.iter().filter(|crash| crash.0 == name).count();
+        if one_in_twenty(&name) {
+            assert_eq!(rack.answer_to(number), Some(&Answer::Failed), "{number}");
+            assert!((2..=3).contains(&crashes), "{number}: {crashes}");
+        } else {
+            let answer = rack.answer_to(number);
+            assert_eq!(answer, Some(&Answer::Completed), "{number}");
+            assert!(
+                rack.starts[&name] <= 2,
+                "{number} lost more than one attempt"
+            );
+        }
+    }
+    // Neighbours are lost at the first crash under each bad task alone.
+    let shared = rack.crashes.iter().filter(|crash| crash.1 > 0).count();
+    assert!(shared <= 5, "{:?}", rack.crashes);
+});
+
+case!(a_job_that_comes_again_has_its_crashes_counted_on, {
+    let mut rack = Rack::new(6, only_the_first);
+    rack.submit(1);
+    rack.pass(100);
+    assert_eq!(rack.crashes.len(), 1);
+    // Its caller leaves before the crash is known.
+    let request_id = RequestId(1);
+    rack.rig.event(Event::CallerGone { request_id });
+    rack.pass(1_300);
+    let steps = vec![step(1, 2_000, WORK_MS)];
+    rack.rig.submit(2, &id(1), steps.clone(), 8_000);
+    rack.pass(2_000);
+    assert_eq!(rack.rig.answer_to(2), Some(&Answer::Failed));
+    assert_eq!(rack.crashes.len(), 2);
+    rack.rig.submit(3, &id(1), steps, 8_000);
+    assert_eq!(rack.rig.answer_to(3), Some(&Answer::Failed), "at once");
+    rack.pass(1_000);
+    assert_eq!(rack.starts[&task(1)], 2);
+});
+
+fn told(alone: u32, beside_others: u32) -> Request {
+    Request::Crashes(vec![CrashRecord {
+        task: task(1).into(),
+        attempt: 7,
+        alone,
+        beside_others,
+    }])
+}
+
+case!(
+    a_host_that_was_told_starts_no_more_than_the_one_that_counted,
+    {
+        let mut rig = Rig::holding_targets(&[target("near", 16)]);
+        rig.peer_asks(8, told(1, 1));
+        rig.submit(1, &id(1), vec![step(2, 2_000, WORK_MS)], 1_500);
+        assert_eq!(rig.answer_to(1), Some(&Answer::Failed));
+        assert_eq!(rig.starts(), []);
+    }
+);
+
+case!(a_host_that_was_told_of_one_crash_runs_the_task_alone, {
+    let mut rig = Rig::holding_targets(&[target("near", 16)]);
+    rig.peer_asks(8, told(1, 0));
+    rig.submit(1, &id(1), vec![step(2, 2_000, WORK_MS)], 1_500);
+    rig.submit(2, &id(2), vec![step(1, 2_000, WORK_MS)], 1_500);
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1, "nothing beside it: {starts:?}");
+    assert_eq!(&*starts[0].2.task, task(1));
+    assert_eq!(starts[0].2.attempt, 8, "above those that were counted");
+});
+
+/// Declares tests, each the hall of a peer and how often that is told of one crash.
+macro_rules! told_halls {
+    ($($name:ident: $hall:literal => $times:literal;)+) => {
+        $(case!($name, { assert_eq!(times_told($hall), $times); });)+
+    };
+}
+
+told_halls! {
+    the_own_hall_is_told: "north" => 1;
+    other_halls_are_not_told: "south" => 0;
+}
+
+fn times_told(hall: &str) -> usize {
+    let mut rig = Rig::new();
+    let mut peer = peer_info();
+    peer.hall = hall.into();
+    rig.event(Event::HostsRead(vec![peer]));
+    let targets: Vec<_> = (0..8).map(|at| target(&format!("t-{at}"), 16)).collect();
+    rig.event(Event::TargetsRead(targets.into()));
+    for _ in 0..100 {
+        rig.pass(10);
+        rig.answer_heartbeats(0);
+    }
+    for (call, _) in rig.renewals() {
+        rig.listing(call, &[], &[]);
+    }
+    rig.submit(1, &id(1), vec![step(1, 2_000, WORK_MS)], 8_000);
+    assert_eq!(rig.starts().len(), 1);
+    lose(&mut rig, &SendFailure::Refused);
+    let news = rig.requests(|request| matches!(request, Request::Crashes(_)));
+    news.len()
+}
+
+/// Has all calls to targets fail for longer than their leases last.
+fn lose(rig: &mut Rig, failure: &SendFailure) {
+    for _ in 0..80 {
+        for called in std::mem::take(&mut rig.calls) {
+            let failure = match called.order {
+                TargetCall::Start(_) => SendFailure::Unknown,
+                TargetCall::Stop(_) | TargetCall::Renew { .. } => *failure,
+            };
+            let call = called.call;
+            let reply = Err(failure);
+            rig.event(Event::TargetReply { call, reply });
+        }
+        rig.pass(10);
+        rig.answer_heartbeats(0);
+    }
+}
+
+case!(a_target_that_is_only_silent_makes_no_task_suspect, {
+    for (failure, expected) in [(SendFailure::Unknown, 2), (SendFailure::Refused, 1)] {
+        let mut rig = Rig::holding_targets(&[target("t-0", 16)]);
+        rig.submit(1, &id(1), vec![step(1, 2_000, WORK_MS)], 8_000);
+        assert_eq!(rig.starts().len(), 1);
+        lose(&mut rig, &failure);
+        rig.event(Event::TargetsRead(vec![target("t-1", 16)].into()));
+        rig.pass(300);
+        for (call, _) in rig.renewals() {
+            rig.listing(call, &[], &[]);
+        }
+        rig.submit(2, &id(2), vec![step(1, 2_000, WORK_MS)], 8_000);
+        assert_eq!(rig.starts().len(), expected, "{failure:?}");
+    }
+});
+
+/// Declares tests, each how a target was lost and how its attempts ended by it.
+macro_rules! losses {
+    ($($name:ident: $loss:ident, leaving $leaving:literal, attempts $attempts:literal => $outcome:ident;)+) => {
+        $(case!($name, {
+            let found = outcome(TargetLoss::$loss, $leaving, $attempts);
+            assert_eq!(found, AttemptOutcome::$outcome);
+        });)+
+    };
+}
+
+losses! {
+    silence_is_no_crash: Silent, leaving false, attempts 1 => Lost;
+    a_planned_end_is_no_crash: ProcessGone, leaving true, attempts 1 => Lost;
+    a_planned_restart_is_no_crash: Restarted, leaving true, attempts 2 => Lost;
+    a_process_that_is_gone_crashed: ProcessGone, leaving false, attempts 1 => CrashedAlone;
+    a_restart_under_several: Restarted, leaving false, attempts 2 => CrashedBesideOthers;
+}
+
+/// Declares tests, each how often targets crashed under a task, how many ms ago, and what
+/// becomes of it.
+macro_rules! verdicts {
+    ($($name:ident: $alone:literal, $beside_others:literal, $since_ms:literal => $verdict:ident;)+) => {
+        $(case!($name, {
+            let crashes = Crashes { alone: $alone, beside_others: $beside_others };
+            assert_eq!(crashes.verdict($since_ms), Verdict::$verdict);
+        });)+
+    };
+}
+
+verdicts! {
+    no_crash: 0, 0, 0 => Trusted;
+    beside_others_once: 0, 1, 199 => Quarantined;
+    beside_others_once_long_ago: 0, 1, 200 => Trusted;
+    alone_once: 1, 0, 10_000 => Quarantined;
+    beside_others_twice: 0, 2, 10_000 => Quarantined;
+    alone_at_one_of_two: 1, 1, 0 => GivenUp;
+    alone_twice: 2, 0, 0 => GivenUp;
+    beside_others_three_times: 0, 3, 0 => GivenUp;
+}
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -7,9 +7,9 @@
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
 use gannetridge_dispatcher_core::event::TargetChange;
 use gannetridge_dispatcher_core::message::{
-    AttemptEnd, AttemptId, AttemptOutcome, Demand, DrainingNews, EchoedClock, Envelope,
-    FreeResources, Heartbeat, HeartbeatReply, HostInfo, ListNews, PlatformNewsReply, Priority,
-    PriorityClass, Reply, ReplyBody, Request, SpreadLimit, StoreNewsReply, TaskOrder,
+    AttemptEnd, AttemptId, AttemptOutcome, CrashRecord, Demand, DrainingNews, EchoedClock,
+    Envelope, FreeResources, Heartbeat, HeartbeatReply, HostInfo, ListNews, PlatformNewsReply,
+    Priority, PriorityClass, Reply, ReplyBody, Request, SpreadLimit, StoreNewsReply, TaskOrder,
 };
 use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_wire::codec;
@@ -114,19 +114,28 @@
 }
 
 fn ends() -> Vec<AttemptEnd> {
-    [
+    ended(&[
         AttemptOutcome::Done,
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
-    ]
-    .into_iter()
-    .map(|outcome| AttemptEnd {
+    ])
+}
+
+fn crashes() -> Vec<AttemptEnd> {
+    ended(&[
+        AttemptOutcome::CrashedAlone,
+        AttemptOutcome::CrashedBesideOthers,
+    ])
+}
+
+fn ended(outcomes: &[AttemptOutcome]) -> Vec<AttemptEnd> {
+    let ends = outcomes.iter().map(|outcome| AttemptEnd {
         id: key(),
-        outcome,
+        outcome: *outcome,
         target: "target-7".into(),
-    })
-    .collect()
+    });
+    ends.collect()
 }
 
 fn queues() -> Configuration {
@@ -198,6 +207,14 @@
     request_offer: ask(Request::Reservation(free()));
     request_stop: ask(Request::Stop { keys: vec![key()], report: true });
     request_ended: ask(Request::Ended(ends()));
+    request_ended_crashed: ask(Request::Ended(crashes()));
+    request_place_alone: ask(Request::PlaceAlone(vec![plain_order()]));
+    request_crashes: ask(Request::Crashes(vec![CrashRecord {
+        task: key().task,
+        attempt: 3,
+        alone: 1,
+        beside_others: 2,
+    }]));
     request_queues: ask(Request::Configuration);
     request_store_news: ask(Request::StoreNews { after: 300 });
     request_platform_news: ask(Request::PlatformNews { after: 300 });
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -70,6 +70,14 @@
             let reason = reason.as_str();
             info!(event = "run-ending", task = %id.task, run = id.attempt, %target, reason);
         }
+        Decision::TaskSuspected {
+            task,
+            alone,
+            beside_others,
+            state,
+        } => {
+            info!(event = "task-suspected", %task, state = state.as_str(), alone, beside_others);
+        }
         Decision::Target { target, state, by } => {
             info!(event = "target", %target, state = state.as_str(), by = by.as_str());
         }
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -30,6 +30,7 @@
     ends: Counter<u64>,
     handed_over: Counter<u64>,
     stops: Counter<u64>,
+    suspected: Counter<u64>,
     capacity_changes: Counter<u64>,
     unusable_capacities: Counter<u64>,
     took: Histogram<f64>,
@@ -78,6 +79,10 @@
             ends: counter("run_ends", "Ends of runs, by how and what showed it"),
             handed_over: counter("tasks_asked", "Tasks handed to peers"),
             stops: counter("stops", "Runs that were to be ended, by reason"),
+            suspected: counter(
+                "tasks_suspected",
+                "Tasks under which targets crashed, by what they were taken for then",
+            ),
             capacity_changes: counter(
                 "capacity_changes",
                 "Changes of what targets have, by what told them",
@@ -145,6 +150,10 @@
             }
             Decision::Configuration { version, .. } => self.version.record(*version, &[]),
             Decision::Store { reachable } => self.store.record(u64::from(*reachable), &[]),
+            Decision::TaskSuspected { state, .. } => {
+                let state = KeyValue::new("state", state.as_str());
+                self.suspected.add(1, &[state]);
+            }
             Decision::TargetCapacity { by, .. } => {
                 let by = KeyValue::new("by", by.as_str());
                 self.capacity_changes.add(1, &[by]);
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -9,7 +9,7 @@
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, PeerState, Rejection,
-    StopReason, StoreReading, TargetBelief,
+    StopReason, StoreReading, Suspicion, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
@@ -108,6 +108,12 @@
             state: TargetBelief::Silent,
             by: BeliefSource::Renewal,
         },
+        Decision::TaskSuspected {
+            task: key().task,
+            alone: 1,
+            beside_others: 1,
+            state: Suspicion::GivenUp,
+        },
         Decision::Target {
             target: "target-7".into(),
             state: TargetBelief::CapacityUnusable,
@@ -152,6 +158,8 @@
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
+        AttemptOutcome::CrashedAlone,
+        AttemptOutcome::CrashedBesideOthers,
     ];
     notes.extend(ends.map(attempt_ended));
     notes
@@ -260,6 +268,7 @@
         EndEvidence,
         EntryFault,
         TargetBelief,
+        Suspicion,
         BeliefSource,
         PeerState,
         StoreReading,
