Tell sure crashes from doubtful ones, and play crashing tasks in the simulator

Change: an attempt whose start had no reply, or that was being stopped, ends as perhaps crashed. Such crashes count for giving up, and not for the answer failed: with fewer than two sure ones the job ends unfinished.

With the count taken out (crashes_are_counted) the simulator finds it.

--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -113,6 +113,8 @@
         alone: u32,
         /// How many crashed while others ran there too.
         beside_others: u32,
+        /// How many crashed where it isn't sure that it ran.
+        perhaps: u32,
         /// The new belief.
         state: Suspicion,
     },
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -39,6 +39,8 @@
         AttemptsExhausted = "attempts",
         /// Targets crashed under one of its tasks; see `rules::crashes`.
         Crashing = "crashing",
+        /// Targets crashed on which one of its tasks may have run.
+        PerhapsCrashing = "perhaps crashing",
         /// The deadline has passed, or what is left can't end before it.
         Deadline = "deadline",
         /// No task started in the part of the time in which waiting pays.
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -172,7 +172,8 @@
 
     /// Reports an end to a peer, if it still waits for it.
     fn report_to_peer(&mut self, now: Millis, report: EndReport) {
-        let crashed = report.end.outcome.is_crash();
+        let counted = self.settings.safeguards.crashes_are_counted;
+        let crashed = counted && report.end.outcome.is_crash();
         let Some(peer) = self.peers.get_mut(&report.owner.host) else {
             return;
         };
--- a/crates/dispatcher-core/src/jobs/crashes.rs
+++ b/crates/dispatcher-core/src/jobs/crashes.rs
@@ -59,6 +59,7 @@
         let theirs = Crashes {
             alone: record.alone,
             beside_others: record.beside_others,
+            perhaps: record.perhaps,
         };
         let crashes = known.crashes.most(&theirs);
         let history = History {
@@ -98,10 +99,17 @@
         self.of_job(job).map(|(_, history)| history.attempt).max()
     }
 
-    /// Returns whether a task of a job is given up.
-    fn gives_up(&self, job: &str) -> bool {
-        let mut tasks = self.of_job(job);
-        tasks.any(|(_, history)| history.crashes.verdict(0) == Verdict::GivenUp)
+    /// Returns why a job ends, if a task of it is given up.
+    fn ends(&self, job: &str) -> Option<EndCause> {
+        let mut cause = None;
+        for (_, history) in self.of_job(job) {
+            match history.crashes.verdict(0) {
+                Verdict::GivenUp => return Some(EndCause::Crashing),
+                Verdict::GivenUpInDoubt => cause = Some(EndCause::PerhapsCrashing),
+                Verdict::Trusted | Verdict::Quarantined => {}
+            }
+        }
+        cause
     }
 
     /// Forgets tasks whose callers come no more, but for those that `is_under_way`.
@@ -117,14 +125,15 @@
     /// Counts a crash under a task, whether or not its job is under way here; of one that is
     /// given up the job ends.
     pub fn count_crash(&mut self, now: Millis, end: &AttemptEnd) {
+        if !self.safeguards.crashes_are_counted {
+            return;
+        }
         let Some(crashes) = self.crashed.count(now, end) else {
             return;
         };
-        let given_up = crashes.verdict(0) == Verdict::GivenUp;
-        let suspicion = if given_up {
-            Suspicion::GivenUp
-        } else {
-            Suspicion::Suspect
+        let suspicion = match crashes.verdict(0) {
+            Verdict::GivenUp | Verdict::GivenUpInDoubt => Suspicion::GivenUp,
+            Verdict::Trusted | Verdict::Quarantined => Suspicion::Suspect,
         };
         self.record_suspicion(&end.id.task, crashes, suspicion);
         self.end_if_given_up(now, &end.id.task);
@@ -148,6 +157,7 @@
                 attempt: history.attempt,
                 alone: history.crashes.alone,
                 beside_others: history.crashes.beside_others,
+                perhaps: history.crashes.perhaps,
             })
         });
         records.collect()
@@ -170,8 +180,8 @@
 
     /// Ends a job of which a task is known to be given up.
     pub(super) fn end_if_any_given_up(&mut self, now: Millis, job: &Name) {
-        if self.crashed.gives_up(job) {
-            self.end(now, job, EndCause::Crashing);
+        if let Some(cause) = self.crashed.ends(job) {
+            self.end(now, job, cause);
         }
     }
 
@@ -187,6 +197,7 @@
             task: task.clone(),
             alone: crashes.alone,
             beside_others: crashes.beside_others,
+            perhaps: crashes.perhaps,
             state,
         }));
     }
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -223,6 +223,8 @@
     CrashedAlone,
     /// The target crashed while others ran there too.
     CrashedBesideOthers,
+    /// The target crashed, and this attempt may have run there.
+    PerhapsCrashed,
 }
 
 impl AttemptOutcome {
@@ -236,13 +238,17 @@
             Self::StaleAttempt => "outnumbered",
             Self::CrashedAlone => "crashed",
             Self::CrashedBesideOthers => "crashed beside others",
+            Self::PerhapsCrashed => "perhaps crashed",
         }
     }
 
     /// Returns whether the target crashed.
     #[must_use]
     pub fn is_crash(self) -> bool {
-        matches!(self, Self::CrashedAlone | Self::CrashedBesideOthers)
+        match self {
+            Self::CrashedAlone | Self::CrashedBesideOthers | Self::PerhapsCrashed => true,
+            Self::Done | Self::Failed | Self::Lost | Self::StaleAttempt => false,
+        }
     }
 }
 
@@ -268,6 +274,8 @@
     pub alone: u32,
     /// While others ran there too.
     pub beside_others: u32,
+    /// Where it isn't sure that the task ran.
+    pub perhaps: u32,
 }
 
 /// What a host asks of a peer.
--- a/crates/dispatcher-core/src/rules/crashes.rs
+++ b/crates/dispatcher-core/src/rules/crashes.rs
@@ -12,14 +12,17 @@
 //! others again if no empty target was found in `QUARANTINE_WAIT_MS`; all others wait for one.
 //! A task that is done is cleared.
 //!
-//! *Giving up.* A task is given up, and its job fails, once two targets crashed under it, while
-//! it was alone on one of them at least, or once `MOST_CRASHES` did.
+//! *Giving up.* A task is given up once two targets surely crashed under it while it was alone
+//! on one of them at least, or once `MOST_CRASHES` did, surely or perhaps. Its job fails if two
+//! of them are sure; else it ends unfinished, since the task may have been started there too
+//! late, or stopped in time, to have had a part in it.
 //!
 //! **Inputs.** How many targets crashed under a task, alone and beside others; ms since the last
 //! of them. Callers need that such a task neither takes their other tasks' targets with it nor
 //! runs on and on, and that a task that was only beside one is done in its time. One task so
 //! takes `MOST_CRASHES` targets at most, and neighbours with it on the first two at most.
-//! **Gives up.** A task that was alone on two targets that crashed by themselves fails.
+//! **Gives up.** A task that was alone on a target that crashed by itself, and on another such
+//! target before, fails, as does one that was done there and whose end wasn't heard.
 
 use crate::message::AttemptOutcome;
 use crate::Millis;
@@ -27,9 +30,8 @@
 /// A task is given up after so many crashes, whoever ran beside it: the users allow none to be
 /// started over and over after three.
 const MOST_CRASHES: u32 = 3;
-/// A task is given up after so many crashes if it was alone at one of them: from the second on
-/// the users let a job be shown as failed.
-const CRASHES_ONE_ALONE: u32 = 2;
+/// From so many sure crashes on the users let a job be shown as failed.
+const SURE_CRASHES: u32 = 2;
 /// How long a task that ran beside others once waits for an empty target, in ms: where many
 /// targets crash by themselves and none is empty, waiting for longer would make it late.
 const QUARANTINE_WAIT_MS: Millis = 200;
@@ -45,17 +47,29 @@
     Restarted,
 }
 
+/// Whether an attempt ran on a target when that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// The target had said that it has it, and nothing was to end it.
+    Surely,
+    /// Its start had no reply, or it was being stopped.
+    Perhaps,
+    /// The target had stopped it.
+    No,
+}
+
 /// Returns how an attempt ended on a target that was lost. `leaving` tells whether the target
-/// had said that it leaves, `attempts` how many may have been running there.
+/// had said that it leaves, `others` how many other attempts may have run there.
 #[must_use]
-pub fn outcome(loss: TargetLoss, leaving: bool, attempts: usize) -> AttemptOutcome {
-    match loss {
-        TargetLoss::Silent => AttemptOutcome::Lost,
-        TargetLoss::ProcessGone | TargetLoss::Restarted if leaving => AttemptOutcome::Lost,
-        TargetLoss::ProcessGone | TargetLoss::Restarted if attempts <= 1 => {
-            AttemptOutcome::CrashedAlone
-        }
-        TargetLoss::ProcessGone | TargetLoss::Restarted => AttemptOutcome::CrashedBesideOthers,
+pub fn outcome(loss: TargetLoss, leaving: bool, ran: Ran, others: usize) -> AttemptOutcome {
+    if loss == TargetLoss::Silent || leaving {
+        return AttemptOutcome::Lost;
+    }
+    match ran {
+        Ran::No => AttemptOutcome::Lost,
+        Ran::Perhaps => AttemptOutcome::PerhapsCrashed,
+        Ran::Surely if others == 0 => AttemptOutcome::CrashedAlone,
+        Ran::Surely => AttemptOutcome::CrashedBesideOthers,
     }
 }
 
@@ -66,6 +80,8 @@
     pub alone: u32,
     /// While others ran there too.
     pub beside_others: u32,
+    /// Where it isn't sure that the task ran.
+    pub perhaps: u32,
 }
 
 /// What becomes of a task.
@@ -75,8 +91,10 @@
     Trusted,
     /// It runs alone.
     Quarantined,
-    /// It is given up.
+    /// It is given up, and its job fails.
     GivenUp,
+    /// It is given up, and its job ends unfinished.
+    GivenUpInDoubt,
 }
 
 impl Crashes {
@@ -85,6 +103,7 @@
         match outcome {
             AttemptOutcome::CrashedAlone => self.alone += 1,
             AttemptOutcome::CrashedBesideOthers => self.beside_others += 1,
+            AttemptOutcome::PerhapsCrashed => self.perhaps += 1,
             AttemptOutcome::Done
             | AttemptOutcome::Failed
             | AttemptOutcome::Lost
@@ -99,17 +118,21 @@
         Self {
             alone: self.alone.max(other.alone),
             beside_others: self.beside_others.max(other.beside_others),
+            perhaps: self.perhaps.max(other.perhaps),
         }
     }
 
     /// Returns what becomes of the task, `since_ms` after the last crash.
     #[must_use]
     pub fn verdict(&self, since_ms: Millis) -> Verdict {
-        let all = self.alone + self.beside_others;
-        let one_alone = self.alone > 0 && all >= CRASHES_ONE_ALONE;
+        let sure = self.alone + self.beside_others;
+        let all = sure + self.perhaps;
+        let proven = self.alone > 0 && sure >= SURE_CRASHES;
         let maybe_unlucky = self.alone == 0 && all == 1;
-        if all >= MOST_CRASHES || one_alone {
+        if proven || (all >= MOST_CRASHES && sure >= SURE_CRASHES) {
             Verdict::GivenUp
+        } else if all >= MOST_CRASHES {
+            Verdict::GivenUpInDoubt
         } else if all == 0 || (maybe_unlucky && since_ms >= QUARANTINE_WAIT_MS) {
             Verdict::Trusted
         } else {
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -133,6 +133,7 @@
         EndCause::Cancelled => Answer::Cancelled,
         EndCause::AttemptsExhausted | EndCause::Crashing => Answer::Failed,
         EndCause::Draining if not_run => refused_while_draining(),
+        EndCause::PerhapsCrashing => Answer::Unfinished,
         EndCause::Draining
         | EndCause::Deadline
         | EndCause::NoResources
--- a/crates/dispatcher-core/src/rules/retry.rs
+++ b/crates/dispatcher-core/src/rules/retry.rs
@@ -81,7 +81,8 @@
         },
         AttemptOutcome::Lost
         | AttemptOutcome::CrashedAlone
-        | AttemptOutcome::CrashedBesideOthers => again,
+        | AttemptOutcome::CrashedBesideOthers
+        | AttemptOutcome::PerhapsCrashed => again,
         AttemptOutcome::StaleAttempt => Consequence {
             advance: STALE_ATTEMPT_SKIP,
             avoid_target: false,
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -114,6 +114,8 @@
     pub silent_attempts_are_waited_for: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
+    /// How many targets crashed under a task is counted.
+    pub crashes_are_counted: bool,
 }
 
 impl Default for Safeguards {
@@ -132,6 +134,7 @@
             begun_is_not_refused: true,
             silent_attempts_are_waited_for: true,
             lives_are_told_apart: true,
+            crashes_are_counted: true,
         }
     }
 }
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -5,6 +5,7 @@
 use crate::decision::EndEvidence;
 use crate::event::CallId;
 use crate::message::{AttemptEnd, Envelope, SpreadLimit, TaskOrder};
+use crate::rules::crashes::Ran;
 use crate::rules::progress::Progress;
 use crate::rules::target_health::RunningTime;
 use crate::spec::Resources;
@@ -131,6 +132,15 @@
         stopped || confirmed || self.latest_begin < asked
     }
 
+    /// Returns whether it ran, if its target is lost now.
+    pub(super) fn ran(&self) -> Ran {
+        match (self.stop, self.confirmed) {
+            (StopStage::Done(_), _) => Ran::No,
+            (StopStage::Wanted, Some(_)) => Ran::Surely,
+            (StopStage::Wanted, None) | (StopStage::ToSend | StopStage::Sent(_), _) => Ran::Perhaps,
+        }
+    }
+
     /// Returns whether it counts for a limit of tasks of one step.
     pub(super) fn counts_for(&self, limit: &SpreadLimit) -> bool {
         self.spread.as_ref() == Some(&limit.step)
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -3,10 +3,12 @@
 //! An attempt ends when the target lists its end, when a listing that would show it
 //! doesn't, or when the target's lease expired. Anything less leaves it running.
 
+use std::collections::BTreeMap;
+
 use crate::decision::EndEvidence;
 use crate::event::{ListedAttempt, ListedEnd, ListedOutcome};
 use crate::message::{AttemptEnd, AttemptId, AttemptOutcome};
-use crate::rules::crashes::{self, TargetLoss};
+use crate::rules::crashes::{self, Ran, TargetLoss};
 use crate::Millis;
 
 use super::attempt::EndReport;
@@ -50,16 +52,13 @@
             .iter()
             .filter(|(id, attempt)| attempt.would_be_listed(listing.asked) && !is_listed(id));
         let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
-        let restarted = self.lost_outcome(TargetLoss::Restarted, self.lost_life.len());
         for id in over {
-            let outcome = if self.lost_life.contains(&id) {
-                restarted
-            } else {
-                AttemptOutcome::Lost
-            };
+            let lost = AttemptOutcome::Lost;
+            let outcome = self.lost_life.remove(&id).unwrap_or(lost);
             reports.extend(self.end(now, &id, outcome, EndEvidence::NotListed));
         }
-        self.lost_life.retain(|id| self.attempts.contains_key(id));
+        self.lost_life
+            .retain(|id, _| self.attempts.contains_key(id) && !is_listed(id));
         let mut running = listing.running.iter();
         let own_only = running.all(|listed| self.attempts.contains_key(&listed.id));
         self.lease.confirmed(now, own_only || !settles);
@@ -112,15 +111,22 @@
         loss: TargetLoss,
         by: EndEvidence,
     ) -> Vec<EndReport> {
-        let ids: Vec<AttemptId> = self.attempts.keys().cloned().collect();
-        let outcome = self.lost_outcome(loss, ids.len());
-        let ends = ids.iter();
-        ends.filter_map(|id| self.end(now, id, outcome, by))
+        let outcomes = self.lost_outcomes(loss).into_iter();
+        outcomes
+            .filter_map(|(id, outcome)| self.end(now, &id, outcome, by))
             .collect()
     }
 
-    /// Returns how attempts ended on this target that was lost while it had so many.
-    pub(super) fn lost_outcome(&self, loss: TargetLoss, attempts: usize) -> AttemptOutcome {
-        crashes::outcome(loss, self.entry.leaving, attempts)
+    /// Returns how the attempts here end now that the target is lost.
+    pub(super) fn lost_outcomes(&self, loss: TargetLoss) -> BTreeMap<AttemptId, AttemptOutcome> {
+        let attempts = self.attempts.values();
+        let running = attempts.filter(|attempt| attempt.ran() != Ran::No).count();
+        let others = running.saturating_sub(1);
+        let leaving = self.entry.leaving;
+        let outcomes = self.attempts.iter().map(|(id, attempt)| {
+            let outcome = crashes::outcome(loss, leaving, attempt.ran(), others);
+            (id.clone(), outcome)
+        });
+        outcomes.collect()
     }
 }
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -11,7 +11,7 @@
 
 use crate::decision::{BeliefSource, EndEvidence, TargetBelief};
 use crate::event::{Born, TargetReply};
-use crate::message::AttemptId;
+use crate::message::{AttemptId, AttemptOutcome};
 use crate::rules::crashes::TargetLoss;
 use crate::Millis;
 
@@ -90,8 +90,7 @@
         self.forget();
         self.born = born(reply);
         self.lease.begin_life(now, token);
-        self.lost_life = self.attempts.keys().cloned().collect();
-        let outcome = self.lost_outcome(TargetLoss::Restarted, self.lost_life.len());
+        self.lost_life = self.lost_outcomes(TargetLoss::Restarted);
         let attempts = self.attempts.iter();
         let over = attempts.filter(|(id, attempt)| {
             let known = attempt.confirmed;
@@ -103,8 +102,12 @@
             attempt.request_stop(true);
         }
         let by = EndEvidence::WrongIncarnation;
-        let reports = over.iter().filter_map(|id| self.end(now, id, outcome, by));
-        let reports = reports.collect();
+        let mut reports = Vec::new();
+        for id in over {
+            let lost = AttemptOutcome::Lost;
+            let outcome = self.lost_life.remove(&id).unwrap_or(lost);
+            reports.extend(self.end(now, &id, outcome, by));
+        }
         // An order with a time of the old clock may have come to the new life: what runs there
         // from now on may then run for as long as it grants at all.
         self.lease.extend(now + longest_attempts_over);
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -7,7 +7,7 @@
 
 use crate::decision::StopReason;
 use crate::event::{Born, CallId, ListedAttempt, TargetEntry};
-use crate::message::{AttemptId, FreeResources, TaskOrder};
+use crate::message::{AttemptId, AttemptOutcome, FreeResources, TaskOrder};
 use crate::rules::leases::{least_on_target_clock, Times};
 use crate::rules::progress::Progress;
 use crate::rules::target_choice::{self, Candidate};
@@ -54,9 +54,9 @@
     alone: Option<AttemptId>,
     /// Whether nothing listened at its address when it was called last.
     pub(super) refuses: bool,
-    /// What it had when it was found to have started again, until a listing shows what became
-    /// of it.
-    pub(super) lost_life: Vec<AttemptId>,
+    /// What it had when it was found to have started again, and how that ends where the new
+    /// life doesn't list it.
+    pub(super) lost_life: BTreeMap<AttemptId, AttemptOutcome>,
 }
 
 impl Target {
@@ -75,7 +75,7 @@
             reservation: None,
             alone: None,
             refuses: false,
-            lost_life: Vec::new(),
+            lost_life: BTreeMap::new(),
         }
     }
 
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -126,6 +126,7 @@
     ended(&[
         AttemptOutcome::CrashedAlone,
         AttemptOutcome::CrashedBesideOthers,
+        AttemptOutcome::PerhapsCrashed,
     ])
 }
 
@@ -214,6 +215,7 @@
         attempt: 3,
         alone: 1,
         beside_others: 2,
+        perhaps: 4,
     }]));
     request_queues: ask(Request::Configuration);
     request_store_news: ask(Request::StoreNews { after: 300 });
--- a/crates/dispatcher-sim/src/scenario.rs
+++ b/crates/dispatcher-sim/src/scenario.rs
@@ -28,6 +28,8 @@
     pub drain_gap_ms: Millis,
     /// The mean pause between targets that crash and start again under their id, none if 0.
     pub restart_gap_ms: Millis,
+    /// The first task of one of so many jobs crashes each target that starts it, none if 0.
+    pub one_bad_of: u64,
     /// Whether targets reject what doesn't fit.
     pub guards: bool,
     /// Whether hosts' notes and faults are printed.
@@ -52,6 +54,7 @@
             fault_gap_ms: 1_500,
             drain_gap_ms: 0,
             restart_gap_ms: 0,
+            one_bad_of: 0,
             guards: seed % 2 == 0,
             verbose: false,
             safeguards: Safeguards::default(),
@@ -76,6 +79,15 @@
         }
     }
 
+    /// The same, where tasks crash each target that starts them.
+    #[must_use]
+    pub fn with_crashing_tasks(seed: u64) -> Self {
+        Self {
+            one_bad_of: 100,
+            ..Self::new(seed)
+        }
+    }
+
     /// The same, where the operator drains halls and takes them back all the time.
     #[must_use]
     pub fn with_drains(seed: u64) -> Self {
--- a/crates/dispatcher-sim/src/world/faults.rs
+++ b/crates/dispatcher-sim/src/world/faults.rs
@@ -264,6 +264,7 @@
         for key in keys {
             let outcome = gannetridge_dispatcher_core::event::ListedOutcome::Ended;
             self.checks.ended(&id, &key, outcome);
+            self.checks.crashed(&key);
         }
         true
     }
--- a/crates/dispatcher-sim/src/world/mod.rs
+++ b/crates/dispatcher-sim/src/world/mod.rs
@@ -279,6 +279,7 @@
             Happening::TakeBack(hall) => self.take_back(hall),
             Happening::RestartTarget => self.restart_target(),
             Happening::TargetBack(target) => self.target_back(target),
+            Happening::CrashUnder(target, id) => self.crash_under(target, &id),
         }
     }
 
--- a/crates/dispatcher-sim/src/world/network.rs
+++ b/crates/dispatcher-sim/src/world/network.rs
@@ -229,6 +229,7 @@
             let over = target.used_cpu() > target.entry.capacity.cpu;
             self.checks.started(now, &id, &order.id, over);
             self.check_leaving(&id);
+            self.plan_crash(index, &order.id);
         }
         (reply, begun)
     }
--- a/crates/dispatcher-sim/src/world/parts.rs
+++ b/crates/dispatcher-sim/src/world/parts.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use gannetridge_dispatcher_core::event::Born;
-use gannetridge_dispatcher_core::message::{Envelope, HostInfo, Reply};
+use gannetridge_dispatcher_core::message::{AttemptId, Envelope, HostInfo, Reply};
 use gannetridge_dispatcher_core::{
     CallId, Dispatcher, Event, Millis, SendFailure, TargetCall, TargetReply,
 };
@@ -105,4 +105,6 @@
     RestartTarget,
     /// A target that crashed starts again under its id.
     TargetBack(usize),
+    /// A task crashes the target that started it.
+    CrashUnder(usize, AttemptId),
 }
--- a/crates/dispatcher-sim/src/world/restarts.rs
+++ b/crates/dispatcher-sim/src/world/restarts.rs
@@ -1,9 +1,10 @@
-//! Targets that crash and start again under their id.
+//! Targets that crash, by themselves or by a task, and start again under their id.
 //!
 //! Chances are drawn from a generator of its own, so that a seed's other faults are the same
 //! with and without.
 
 use gannetridge_dispatcher_core::event::{Born, TargetChange};
+use gannetridge_dispatcher_core::message::AttemptId;
 use gannetridge_dispatcher_core::Millis;
 use rand::Rng;
 
@@ -14,6 +15,18 @@
 /// One of two is back at once, before any call is missed. Chosen, not measured.
 const DOWN_MS: Millis = 6_000;
 
+/// How long a task runs that crashes its target, in ms: its start is confirmed by then.
+const BAD_WORK_MS: Millis = 20;
+/// For how long a target is down that a task crashed, in ms: its entry stays.
+const BAD_DOWN_MS: Millis = 3_000;
+
+/// Returns whether a task crashes its targets where one job of so many has one that does.
+fn is_bad(task: &str, one_bad_of: u64) -> bool {
+    let first = task.split_once('.').filter(|(_, rest)| *rest == "0.0.0");
+    let number = first.and_then(|(job, _)| u64::from_str_radix(job, 16).ok());
+    one_bad_of > 0 && number.is_some_and(|number| number.is_multiple_of(one_bad_of))
+}
+
 impl World {
     /// Plans the first target that starts again.
     pub(super) fn plan_restarts(&mut self) {
@@ -51,6 +64,23 @@
         self.at(self.now + gap, Happening::RestartTarget);
     }
 
+    /// Has a task that has begun crash its target, if it is one that does.
+    pub(super) fn plan_crash(&mut self, index: usize, id: &AttemptId) {
+        if is_bad(&id.task, self.scenario.one_bad_of) {
+            let at = self.now + BAD_WORK_MS;
+            self.at(at, Happening::CrashUnder(index, id.clone()));
+        }
+    }
+
+    /// Lets a target crash, if the task that crashes it runs there.
+    pub(super) fn crash_under(&mut self, index: usize, id: &AttemptId) {
+        let runs = self.targets[index].attempts.contains_key(id);
+        if runs && self.stop_target(index) {
+            *self.outcome.faults.entry("crashed by a task").or_default() += 1;
+            self.at(self.now + BAD_DOWN_MS, Happening::TargetBack(index));
+        }
+    }
+
     /// Starts a target again under its id.
     pub(super) fn target_back(&mut self, index: usize) {
         let born = Born(EPOCH_MS + self.now);
--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -88,6 +88,32 @@
     }
 }
 
+/// Tasks crash each target that starts them, beside faults of every kind.
+#[test]
+fn promises_are_kept_while_tasks_crash_their_targets() {
+    for seed in 1..=24 {
+        let outcome = run(&Scenario::with_crashing_tasks(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn crashes_that_nobody_counts_are_found() {
+    let safeguards = Safeguards {
+        crashes_are_counted: false,
+        ..Safeguards::default()
+    };
+    let found = (1..=20).any(|seed| {
+        let outcome = run(&Scenario {
+            safeguards,
+            ..Scenario::with_crashing_tasks(seed)
+        });
+        let mut violations = outcome.violations.iter();
+        violations.any(|v| v.rule == Rule::NotCrashedOn)
+    });
+    assert!(found, "nobody missed them");
+}
+
 #[test]
 fn a_life_that_is_taken_for_the_one_before_is_found() {
     let safeguards = Safeguards {
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -74,9 +74,10 @@
             task,
             alone,
             beside_others,
+            perhaps,
             state,
         } => {
-            info!(event = "task-suspected", %task, state = state.as_str(), alone, beside_others);
+            info!(event = "task-suspected", %task, state = state.as_str(), alone, beside_others, perhaps);
         }
         Decision::Target { target, state, by } => {
             info!(event = "target", %target, state = state.as_str(), by = by.as_str());
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -112,6 +112,7 @@
             task: key().task,
             alone: 1,
             beside_others: 1,
+            perhaps: 0,
             state: Suspicion::GivenUp,
         },
         Decision::Target {
@@ -160,6 +161,7 @@
         AttemptOutcome::StaleAttempt,
         AttemptOutcome::CrashedAlone,
         AttemptOutcome::CrashedBesideOthers,
+        AttemptOutcome::PerhapsCrashed,
     ];
     notes.extend(ends.map(attempt_ended));
     notes
--- a/crates/lab/src/cmd/dispatch.rs
+++ b/crates/lab/src/cmd/dispatch.rs
@@ -56,6 +56,13 @@
         meta = "N"
     )]
     restart_gap_ms: u64,
+    #[options(
+        no_short,
+        help = "the first task of one of so many jobs crashes its targets, 0 for none",
+        default = "0",
+        meta = "N"
+    )]
+    one_bad_of: u64,
     #[options(no_short, help = "print what hosts note and which faults strike")]
     verbose: bool,
 }
@@ -69,6 +76,7 @@
             fault_gap_ms: options.fault_gap_ms,
             drain_gap_ms: options.drain_gap_ms,
             restart_gap_ms: options.restart_gap_ms,
+            one_bad_of: options.one_bad_of,
             verbose: options.verbose,
             hosts: options.hosts,
             targets: options.targets,
