Let a task run beside others soon after one crash, and remember jobs that keep coming

A job given up in doubt was forgotten 6 s after its last crash, while its caller came on.

Change: after one crash a task waits 50 ms for an empty target, whether it was alone or not. A job that comes again renews what is remembered of its tasks, and the hall is told again.

--- a/crates/dispatcher-core/src/jobs/crashes.rs
+++ b/crates/dispatcher-core/src/jobs/crashes.rs
@@ -112,6 +112,18 @@
         cause
     }
 
+    /// Remembers the tasks of a job that came again for as long as from their last crash, and has
+    /// others told of them again.
+    fn came_again(&mut self, now: Millis, job: &str) {
+        let tasks: Vec<Name> = self.of_job(job).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            if let Some(remembered) = self.tasks.get_mut(&task) {
+                remembered.until = now + REMEMBERED_MS;
+                self.news.insert(task);
+            }
+        }
+    }
+
     /// Forgets tasks whose callers come no more, but for those that `is_under_way`.
     pub(super) fn expire(&mut self, now: Millis, is_under_way: impl Fn(&str) -> bool) {
         self.tasks.retain(|task, remembered| {
@@ -178,8 +190,14 @@
         !self.crashed.tasks.is_empty() && self.crashed.verdict(now, &task()) == Verdict::Quarantined
     }
 
+    /// Looks at what is known of a job that was accepted.
+    pub(super) fn accepted_again(&mut self, now: Millis, job: &Name) {
+        self.crashed.came_again(now, job);
+        self.end_if_any_given_up(now, job);
+    }
+
     /// Ends a job of which a task is known to be given up.
-    pub(super) fn end_if_any_given_up(&mut self, now: Millis, job: &Name) {
+    fn end_if_any_given_up(&mut self, now: Millis, job: &Name) {
         if let Some(cause) = self.crashed.ends(job) {
             self.end(now, job, cause);
         }
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -206,6 +206,6 @@
         self.by_request.insert(request_id, id.clone());
         self.jobs.insert(id.clone(), job);
         self.update_ready(now, &id);
-        self.end_if_any_given_up(now, &id);
+        self.accepted_again(now, &id);
     }
 }
--- a/crates/dispatcher-core/src/rules/crashes.rs
+++ b/crates/dispatcher-core/src/rules/crashes.rs
@@ -8,9 +8,9 @@
 //! *Who is suspect.* All tasks that a crashed target had. One that was alone there is blamed
 //! more than one that ran beside others.
 //!
-//! *Quarantine.* A suspect runs alone on a target. One that ran beside others once runs beside
-//! others again if no empty target was found in `QUARANTINE_WAIT_MS`; all others wait for one.
-//! A task that is done is cleared.
+//! *Quarantine.* A suspect runs alone on a target. After one crash it runs beside others again if
+//! no empty target was found in `QUARANTINE_WAIT_MS`; after more it waits for one. A task that
+//! is done is cleared.
 //!
 //! *Giving up.* A task is given up once two targets surely crashed under it while it was alone
 //! on one of them at least, or once `MOST_CRASHES` did, surely or perhaps. Its job fails if two
@@ -32,9 +32,9 @@
 const MOST_CRASHES: u32 = 3;
 /// From so many sure crashes on the users let a job be shown as failed.
 const SURE_CRASHES: u32 = 2;
-/// How long a task that ran beside others once waits for an empty target, in ms: where many
-/// targets crash by themselves and none is empty, waiting for longer would make it late.
-const QUARANTINE_WAIT_MS: Millis = 200;
+/// How long a task waits for an empty target after one crash, in ms: where many targets crash
+/// by themselves and none is empty, waiting for longer would make short jobs late.
+const QUARANTINE_WAIT_MS: Millis = 50;
 
 /// How a target was lost while attempts ran there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,12 +128,11 @@
         let sure = self.alone + self.beside_others;
         let all = sure + self.perhaps;
         let proven = self.alone > 0 && sure >= SURE_CRASHES;
-        let maybe_unlucky = self.alone == 0 && all == 1;
         if proven || (all >= MOST_CRASHES && sure >= SURE_CRASHES) {
             Verdict::GivenUp
         } else if all >= MOST_CRASHES {
             Verdict::GivenUpInDoubt
-        } else if all == 0 || (maybe_unlucky && since_ms >= QUARANTINE_WAIT_MS) {
+        } else if all == 0 || (all == 1 && since_ms >= QUARANTINE_WAIT_MS) {
             Verdict::Trusted
         } else {
             Verdict::Quarantined
