Show rare counters as 0 from the start

Cause: the page for operators names metrics that a host without crashes or changed capacities never showed (process.rs failed on them).

Change: they are counted as 0 at the start. process.rs passes as it was; so do the other tests of the dispatcher and the platform, the short soak among them.

--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,7 +2,9 @@
 //!
 //! `docs/OPERATIONS.md` lists them; `tests/operator_view.rs` holds their names and labels.
 
-use gannetridge_dispatcher_core::decision::{EndCause, EntryFault, TargetBelief};
+use gannetridge_dispatcher_core::decision::{
+    BeliefSource, EndCause, EntryFault, Suspicion, TargetBelief,
+};
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::{Decision, Millis};
 use gannetridge_net::HttpReply;
@@ -107,9 +109,23 @@
             registry,
         };
         metrics.store.record(1, &[]);
+        metrics.show_rare_counters();
         Ok(metrics)
     }
 
+    /// Has counters shown as 0 of which most hosts never count anything.
+    fn show_rare_counters(&self) {
+        self.unusable_capacities.add(0, &[]);
+        for by in [BeliefSource::List, BeliefSource::Renewal] {
+            let by = KeyValue::new("by", by.as_str());
+            self.capacity_changes.add(0, &[by]);
+        }
+        for state in Suspicion::ALL {
+            let state = KeyValue::new("state", state.as_str());
+            self.suspected.add(0, &[state]);
+        }
+    }
+
     /// Returns the meter, for metrics that others keep.
     #[must_use]
     pub fn meter(&self) -> Meter {
