--- a/crates/dispatcher-core/src/decision/mod.rs
+++ b/crates/dispatcher-core/src/decision/mod.rs
@@ -5,11 +5,12 @@
 use gannetridge_wire::Name;
 
 use crate::message::{AttemptId, AttemptOutcome};
+use crate::spec::Resources;
 use crate::Millis;
 
 pub use texts::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, Forecast, PeerState,
-    Rejection, StopReason, StoreReading, TargetBelief,
+    Rejection, StopReason, StoreReading, Suspicion, TargetBelief,
 };
 
 /// A decision, or a change of what the host believes.
@@ -123,6 +124,19 @@
         /// Why.
         reason: StopReason,
     },
+    /// What the host believes of a task changed under which a target crashed.
+    TaskSuspected {
+        /// The task.
+        task: Name,
+        /// How many targets crashed while it was alone there.
+        alone: u32,
+        /// How many crashed while others ran there too.
+        beside_others: u32,
+        /// How many crashed where it isn't sure that it ran.
+        perhaps: u32,
+        /// The new belief.
+        state: Suspicion,
+    },
     /// What the host believes of a target changed.
     Target {
         /// The target.
@@ -156,6 +170,17 @@
         /// The weight of ends by which that is known.
         ends: u32,
     },
+    /// The capacity of a target that this host looks after changed.
+    TargetCapacity {
+        /// The target.
+        target: Name,
+        /// What it has from now on.
+        capacity: Resources,
+        /// What attempts take of it that run there, those being stopped among them; may be more.
+        used: Resources,
+        /// What told it.
+        by: BeliefSource,
+    },
     /// What the host believes of a peer changed.
     Peer {
         /// The peer.
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 
 mod backlog;
 mod caller_requests;
+mod crash_news;
 mod draining;
 mod handing_over;
 mod load;
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -10,10 +10,12 @@
 //! | Why was this request rejected at once? | [`admission`], [`arrival`] |
 //! | Which waiting task goes first? | [`priority`], [`waiting_order`] |
 //! | Which queue or hall is due, and what may long tasks hold? | [`shares`], [`long_tasks`] |
+//! | How much does a target have? | [`capacity`] |
 //! | Why this target? | [`target_choice`] |
 //! | Why this peer, and for which peer are resources reserved? | [`peer_choice`] |
 //! | At which holder does a task wait, and how long? | [`holder_choice`], [`hall_load`], [`backlog`] |
 //! | What follows from the end of an attempt? | [`retry`] |
+//! | Why does a task run alone, or no more? | [`crashes`] |
 //! | Why was this job given up, and when may its caller come back? | [`giving_up`] |
 //! | Why does a target get no tasks? | [`target_health`], [`draining`] |
 //! | Which host holds a target, and who yields? | [`assignment`], [`contention`] |
@@ -35,8 +37,10 @@
 pub mod arrival;
 pub mod assignment;
 pub mod backlog;
+pub mod capacity;
 pub mod congestion;
 pub mod contention;
+pub mod crashes;
 pub mod draining;
 pub mod failure_source;
 pub mod giving_up;
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -3,9 +3,12 @@
 //! An attempt ends when the target lists its end, when a listing that would show it
 //! doesn't, or when the target's lease expired. Anything less leaves it running.
 
+use std::collections::BTreeMap;
+
 use crate::decision::EndEvidence;
 use crate::event::{ListedAttempt, ListedEnd, ListedOutcome};
 use crate::message::{AttemptEnd, AttemptId, AttemptOutcome};
+use crate::rules::crashes::{self, Ran, TargetLoss};
 use crate::Millis;
 
 use super::attempt::{EndReport, MeasuredTask};
@@ -50,8 +53,12 @@
             .filter(|(id, attempt)| attempt.would_be_listed(listing.asked) && !is_listed(id));
         let over: Vec<AttemptId> = over.map(|(id, _)| id.clone()).collect();
         for id in over {
-            reports.extend(self.end(now, &id, AttemptOutcome::Lost, EndEvidence::NotListed));
+            let lost = AttemptOutcome::Lost;
+            let outcome = self.lost_life.remove(&id).unwrap_or(lost);
+            reports.extend(self.end(now, &id, outcome, EndEvidence::NotListed));
         }
+        self.lost_life
+            .retain(|id, _| self.attempts.contains_key(id) && !is_listed(id));
         let mut running = listing.running.iter();
         let own_only = running.all(|listed| self.attempts.contains_key(&listed.id));
         self.lease.confirmed(now, own_only || !settles);
@@ -107,11 +114,29 @@
         })
     }
 
-    /// Ends all attempts as lost.
-    pub(super) fn end_all(&mut self, now: Millis, by: EndEvidence) -> Vec<EndReport> {
-        let ids: Vec<AttemptId> = self.attempts.keys().cloned().collect();
-        let ends = ids.iter();
-        ends.filter_map(|id| self.end(now, id, AttemptOutcome::Lost, by))
+    /// Ends all attempts, since the target was lost.
+    pub(super) fn end_all(
+        &mut self,
+        now: Millis,
+        loss: TargetLoss,
+        by: EndEvidence,
+    ) -> Vec<EndReport> {
+        let outcomes = self.lost_outcomes(loss).into_iter();
+        outcomes
+            .filter_map(|(id, outcome)| self.end(now, &id, outcome, by))
             .collect()
     }
+
+    /// Returns how the attempts here end now that the target is lost.
+    pub(super) fn lost_outcomes(&self, loss: TargetLoss) -> BTreeMap<AttemptId, AttemptOutcome> {
+        let attempts = self.attempts.values();
+        let running = attempts.filter(|attempt| attempt.ran() != Ran::No).count();
+        let others = running.saturating_sub(1);
+        let leaving = self.entry.leaving;
+        let outcomes = self.attempts.iter().map(|(id, attempt)| {
+            let outcome = crashes::outcome(loss, leaving, attempt.ran(), others);
+            (id.clone(), outcome)
+        });
+        outcomes.collect()
+    }
 }
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -12,6 +12,7 @@
 use crate::decision::{BeliefSource, EndEvidence, TargetBelief};
 use crate::event::{Born, TargetReply};
 use crate::message::{AttemptId, AttemptOutcome};
+use crate::rules::crashes::TargetLoss;
 use crate::Millis;
 
 use super::attempt::EndReport;
@@ -90,6 +91,10 @@
         self.forget_speed();
         self.born = born(reply);
         self.lease.begin_life(now, token);
+        // What a life before that had is known better from then.
+        let before = std::mem::take(&mut self.lost_life);
+        self.lost_life = self.lost_outcomes(TargetLoss::Restarted);
+        self.lost_life.extend(before);
         let attempts = self.attempts.iter();
         let over = attempts.filter(|(id, attempt)| {
             let known = attempt.confirmed;
@@ -100,9 +105,13 @@
         for attempt in self.attempts.values_mut() {
             attempt.request_stop(true);
         }
-        let (lost, by) = (AttemptOutcome::Lost, EndEvidence::WrongIncarnation);
-        let reports = over.iter().filter_map(|id| self.end(now, id, lost, by));
-        let reports = reports.collect();
+        let by = EndEvidence::WrongIncarnation;
+        let mut reports = Vec::new();
+        for id in over {
+            let lost = AttemptOutcome::Lost;
+            let outcome = self.lost_life.remove(&id).unwrap_or(lost);
+            reports.extend(self.end(now, &id, outcome, by));
+        }
         // An order with a time of the old clock may have come to the new life: what runs there
         // from now on may then run for as long as it grants at all.
         self.lease.extend(now + longest_attempts_over);
--- a/crates/dispatcher-core/src/targets/room.rs
+++ b/crates/dispatcher-core/src/targets/room.rs
@@ -102,7 +102,7 @@
         let mut usable = self.usable_targets(now);
         usable.any(|target| {
             let far = target_choice::is_far(&target.entry, order);
-            target_choice::could_run(&target.entry, order) && !(near && far)
+            target.could_run(order) && !(near && far)
         })
     }
 }
--- a/crates/dispatcher-core/tests/learned_speeds.rs
+++ b/crates/dispatcher-core/tests/learned_speeds.rs
@@ -314,6 +314,7 @@
             running: running.collect(),
             ended: self.ended.clone(),
             born: Some(self.born),
+            capacity: None,
         }
     }
 }
--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -83,6 +83,15 @@
             let reason = reason.as_str();
             info!(event = "run-ending", task = %id.task, run = id.attempt, %target, reason);
         }
+        Decision::TaskSuspected {
+            task,
+            alone,
+            beside_others,
+            perhaps,
+            state,
+        } => {
+            info!(event = "task-suspected", %task, state = state.as_str(), alone, beside_others, perhaps);
+        }
         Decision::Target { target, state, by } => {
             info!(event = "target", %target, state = state.as_str(), by = by.as_str());
         }
@@ -99,6 +108,16 @@
             tail,
             ends,
         } => info!(event = "task-times", %pool, estimate_ms, cpu, median, tail, ends),
+        Decision::TargetCapacity {
+            target,
+            capacity,
+            used,
+            by,
+        } => {
+            let (cpu, used_cpu) = (capacity.cpu, used.cpu);
+            let (memory_mb, gpus) = (capacity.memory_mb, capacity.gpus);
+            info!(event = "target-capacity", %target, cpu, memory_mb, gpus, used_cpu, by = by.as_str());
+        }
         Decision::Peer {
             peer,
             state,
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -4,7 +4,9 @@
 
 use std::collections::BTreeMap;
 
-use gannetridge_dispatcher_core::decision::{EndCause, EntryFault};
+use gannetridge_dispatcher_core::decision::{
+    BeliefSource, EndCause, EntryFault, Suspicion, TargetBelief,
+};
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
 use gannetridge_dispatcher_core::{Decision, Millis};
@@ -34,6 +36,9 @@
     ends: Counter<u64>,
     handed_over: Counter<u64>,
     stops: Counter<u64>,
+    suspected: Counter<u64>,
+    capacity_changes: Counter<u64>,
+    unusable_capacities: Counter<u64>,
     took: Histogram<f64>,
     over_objective: Histogram<f64>,
     attempt_took: Histogram<f64>,
@@ -94,6 +99,18 @@
             ends: counter("run_ends", "Ends of runs, by how and what showed it"),
             handed_over: counter("tasks_asked", "Tasks handed to peers"),
             stops: counter("stops", "Runs that were to be ended, by reason"),
+            suspected: counter(
+                "tasks_suspected",
+                "Tasks under which targets crashed, by what they were taken for then",
+            ),
+            capacity_changes: counter(
+                "capacity_changes",
+                "Changes of what targets have, by what told them",
+            ),
+            unusable_capacities: counter(
+                "unusable_capacities",
+                "Targets that began to list a capacity that can't be read",
+            ),
             took: histogram("job_ms", "From the request to its answer", &MS),
             over_objective: histogram("job_over_aim", "Response over aim", &RATIO),
             attempt_took: histogram("run_ms", "From a start to its end", &MS),
@@ -135,9 +152,23 @@
             registry,
         };
         metrics.store.record(1, &[]);
+        metrics.show_rare_counters();
         Ok(metrics)
     }
 
+    /// Has counters shown as 0 of which most hosts never count anything.
+    fn show_rare_counters(&self) {
+        self.unusable_capacities.add(0, &[]);
+        for by in [BeliefSource::List, BeliefSource::Renewal] {
+            let by = KeyValue::new("by", by.as_str());
+            self.capacity_changes.add(0, &[by]);
+        }
+        for state in Suspicion::ALL {
+            let state = KeyValue::new("state", state.as_str());
+            self.suspected.add(0, &[state]);
+        }
+    }
+
     /// Returns the meter, for metrics that others keep.
     #[must_use]
     pub fn meter(&self) -> Meter {
@@ -185,6 +216,18 @@
             }
             Decision::Configuration { version, .. } => self.version.record(*version, &[]),
             Decision::Store { reachable } => self.store.record(u64::from(*reachable), &[]),
+            Decision::TaskSuspected { state, .. } => {
+                let state = KeyValue::new("state", state.as_str());
+                self.suspected.add(1, &[state]);
+            }
+            Decision::TargetCapacity { by, .. } => {
+                let by = KeyValue::new("by", by.as_str());
+                self.capacity_changes.add(1, &[by]);
+            }
+            Decision::Target {
+                state: TargetBelief::CapacityUnusable,
+                ..
+            } => self.unusable_capacities.add(1, &[]),
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
             | Decision::HallDraining { .. }
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -9,11 +9,12 @@
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, Forecast, PeerState,
-    Rejection, StopReason, StoreReading, TargetBelief,
+    Rejection, StopReason, StoreReading, Suspicion, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
 use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome, PoolLoad, WaitingWork};
 use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
+use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Millis, Safeguards, Settings};
 use serde_json::Value;
 
@@ -53,6 +54,14 @@
     }
 }
 
+fn resources(cpu: u32) -> Resources {
+    Resources {
+        cpu,
+        memory_mb: 64,
+        gpus: 0,
+    }
+}
+
 fn job_ended(cause: EndCause) -> Decision {
     Decision::JobEnded {
         job: "0123456789abcdef".into(),
@@ -142,6 +151,24 @@
             tail: 7.5,
             ends: 230,
         },
+        Decision::TaskSuspected {
+            task: key().task,
+            alone: 1,
+            beside_others: 1,
+            perhaps: 0,
+            state: Suspicion::GivenUp,
+        },
+        Decision::Target {
+            target: "target-7".into(),
+            state: TargetBelief::CapacityUnusable,
+            by: BeliefSource::Renewal,
+        },
+        Decision::TargetCapacity {
+            target: "target-7".into(),
+            capacity: resources(2_000),
+            used: resources(7_000),
+            by: BeliefSource::Renewal,
+        },
         Decision::Peer {
             peer: "host-b".into(),
             state: PeerState::Silent,
@@ -176,6 +203,9 @@
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
+        AttemptOutcome::CrashedAlone,
+        AttemptOutcome::CrashedBesideOthers,
+        AttemptOutcome::PerhapsCrashed,
     ];
     notes.extend(ends.map(attempt_ended));
     notes
@@ -288,6 +318,7 @@
         EndEvidence,
         EntryFault,
         TargetBelief,
+        Suspicion,
         BeliefSource,
         PeerState,
         StoreReading,
