--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -31,6 +31,9 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
+        if task.alone {
+            return self.place_alone(now, pass, task, order, here);
+        }
         let here = here && self.leaves_room(now, &task.size(), &order.pool);
         if here && self.start_own(now, &task, &order, Reach::Near) {
             return;
@@ -69,6 +72,34 @@
         }
     }
 
+    /// Starts a task that is to run alone here, or asks a peer with an idle target to: it never
+    /// waits at a holder, where others would be started beside it.
+    fn place_alone(
+        &mut self,
+        now: Millis,
+        pass: &mut Pass,
+        task: WaitingTask,
+        order: TaskOrder,
+        here: bool,
+    ) {
+        if here && self.start_own(now, &task, &order, Reach::Alone) {
+            return;
+        }
+        let idle = self.peers.with_idle_target(now, &order);
+        match idle.filter(|_| task.may_ask) {
+            Some(peer) if peer.has_fresh_clock => {
+                self.jobs
+                    .handed_over(now, &task.job, task.index, &peer.name);
+                self.send_place(now, &peer.name, vec![order], Request::PlaceAlone);
+            }
+            Some(peer) => {
+                self.ask_clock(now, &peer.name);
+                pass.left.push(task);
+            }
+            None => pass.left.push(task),
+        }
+    }
+
     fn start_own(
         &mut self,
         now: Millis,
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -121,6 +121,22 @@
         Some(chosen)
     }
 
+    /// Returns a peer that is believed to have a target for a task on which nothing runs, the
+    /// own hall's first.
+    #[must_use]
+    pub fn with_idle_target(&self, now: Millis, order: &TaskOrder) -> Option<ChosenPeer> {
+        let peers = self.peers.values();
+        let idle = peers.filter(|peer| peer.takes_tasks(now) && peer.has_idle_target(order));
+        let chosen = idle.min_by_key(|peer| {
+            let other_hall = peer.info.hall != self.own.hall;
+            (other_hall, !peer.has_fresh_clock(now))
+        })?;
+        Some(ChosenPeer {
+            name: chosen.info.name.clone(),
+            has_fresh_clock: chosen.has_fresh_clock(now),
+        })
+    }
+
     /// Chooses the holder to which a task is handed, this host (`own`) among them, and takes
     /// the task off what is believed of a peer; see [`crate::rules::holder_choice`].
     ///
--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -75,6 +75,12 @@
         self.load.room.iter().any(|room| room.fits(order))
     }
 
+    /// Returns whether it is believed to have a target for an order on which nothing runs.
+    pub(super) fn has_idle_target(&self, order: &TaskOrder) -> bool {
+        let mut room = self.load.room.iter();
+        room.any(|room| room.free == room.entry.capacity && room.fits(order))
+    }
+
     /// Returns whether it is believed to take a task with such needs, now or to wait.
     pub(super) fn may_take(&self, needed: &Resources) -> bool {
         let mut room = self.load.room.iter();
