--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -10,7 +10,7 @@
 use crate::jobs::WaitingTask;
 use crate::message::{AttemptId, HandedTask, Reply, ReplyBody, Request, TaskOrder};
 use crate::peers::ChosenHolder;
-use crate::rules::backlog::{latest_begin, patience_ms};
+use crate::rules::backlog::{latest_begin, may_wait_ms, patience_ms};
 use crate::rules::holder_choice::{HolderView, Place, TaskView};
 use crate::targets::Reach;
 use crate::Millis;
@@ -45,11 +45,11 @@
             running_ms: order.estimate_ms,
             far_slowdown,
         };
-        let urgency = task.priority.urgency;
+        let priority = &task.priority;
         let is_asked = |name: &Name| pass.batches.contains_key(name);
         let chosen = if at_peers {
             self.peers
-                .choose_holder(now, &view, &order, urgency, own, is_asked)
+                .choose_holder(now, &view, &order, priority, own, is_asked)
         } else {
             Some(ChosenHolder::Own {
                 waits: own.near != Place::None,
@@ -173,16 +173,16 @@
             return;
         };
         let clock = peer.echoed_clock.map_or(0, |echoed| echoed.clock);
-        let latest_begin = latest_begin(clock, now.saturating_sub(peer.clock_heard()));
+        let heard_ms_ago = now.saturating_sub(peer.clock_heard());
         peer.begin_use(now);
         let age_ms = now.saturating_sub(peer.free_heard);
         let tasks: Vec<HandedTask> = tasks
             .into_iter()
             .map(|(task, order)| HandedTask {
+                latest_begin: latest_begin(clock, heard_ms_ago, may_wait_ms(&task.priority)),
                 order,
                 queue: task.queue,
                 priority: task.priority,
-                latest_begin,
             })
             .collect();
         let ids: Vec<AttemptId> = tasks.iter().map(|task| task.order.id.clone()).collect();
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -7,8 +7,8 @@
 use gannetridge_wire::Name;
 
 use super::{Peer, Peers};
-use crate::message::{PoolLoad, TaskOrder};
-use crate::rules::backlog::HANDED_MS;
+use crate::message::{PoolLoad, Priority, TaskOrder};
+use crate::rules::backlog::may_wait_ms;
 use crate::rules::hall_load::HallLoad;
 use crate::rules::holder_choice::{choose, Begin, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
@@ -146,10 +146,11 @@
         now: Millis,
         task: &TaskView<'_>,
         order: &TaskOrder,
-        urgency: u8,
+        priority: &Priority,
         own: HolderView,
         is_asked: impl Fn(&Name) -> bool,
     ) -> Option<ChosenHolder> {
+        let urgency = priority.urgency;
         let open = self.peers.values().filter(|peer| peer.takes_tasks(now));
         let mut names: Vec<Option<&Name>> = vec![None];
         let mut views = vec![own];
@@ -174,7 +175,7 @@
                 news_age_ms: places.age_ms,
             });
         }
-        let choice = choose(task, &views, HANDED_MS)?;
+        let choice = choose(task, &views, may_wait_ms(priority))?;
         let Some(name) = names[choice.holder].cloned() else {
             return Some(ChosenHolder::Own {
                 waits: choice.begin == Begin::AfterWait,
--- a/crates/dispatcher-core/src/rules/backlog.rs
+++ b/crates/dispatcher-core/src/rules/backlog.rs
@@ -6,6 +6,9 @@
 //! are expected to have room for it in that time, beside all that waits there already; at most
 //! [`MOST_HANDED`] tasks of peers wait at one holder.
 //!
+//! A task waits at a holder no longer than its job can be on time, unless that has begun: the
+//! parts of a job that waited at several holders would end late, each beside others'.
+//!
 //! A task whose data lies in a rack waits for a target there as long as it would lose by
 //! running far from it ([`patience_ms`]), and then runs anywhere.
 //!
@@ -14,21 +17,36 @@
 //! the session, and tries them again when all attempts there are over. **Gives up.** A target that
 //! gets room elsewhere meanwhile isn't used for a task that waits here, for that long.
 
+use crate::message::{Priority, PriorityClass};
 use crate::Millis;
 
 /// How long a task may wait at a holder, in ms: longer than most targets need to end something,
 /// and short against the time in which callers expect answers.
 pub const HANDED_MS: Millis = 120;
+/// How long a message to a holder may take, in ms, between busy hosts of two halls.
+const WAY_MS: Millis = 10;
 /// The most tasks of peers that wait at one holder: bounds memory, and the work of one event.
 pub const MOST_HANDED: usize = 64;
 /// Between two messages that tell one peer of room, in ms.
 pub const ROOM_TOLD_MS: Millis = 20;
 
+/// Returns for how many ms a task may wait at a holder: one whose job has begun as long as any,
+/// one that can be on time no longer than that, and others not at all but for the way there.
+#[must_use]
+pub fn may_wait_ms(priority: &Priority) -> Millis {
+    let ms = match priority.class {
+        PriorityClass::Begun => HANDED_MS,
+        PriorityClass::OnTime => Millis::try_from(priority.slack_ms).unwrap_or(0),
+        PriorityClass::Late | PriorityClass::Worthless => 0,
+    };
+    ms.clamp(WAY_MS, HANDED_MS)
+}
+
 /// Returns the latest time on a holder's clock at which a task may begin that is handed over
-/// now. The clock showed `clock` when it was heard, `heard_ms_ago`.
+/// now and may wait so long. The clock showed `clock` when it was heard, `heard_ms_ago`.
 #[must_use]
-pub fn latest_begin(clock: Millis, heard_ms_ago: Millis) -> Millis {
-    clock + heard_ms_ago + HANDED_MS
+pub fn latest_begin(clock: Millis, heard_ms_ago: Millis, may_wait_ms: Millis) -> Millis {
+    clock + heard_ms_ago + may_wait_ms
 }
 
 /// Returns whether a holder keeps a task that takes `cpu`, where `queue_cpu` is still free for
