--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -103,7 +103,7 @@
         crashes_are_counted: false,
         ..Safeguards::default()
     };
-    let found = (1..=20).any(|seed| {
+    let found = (1..=80).any(|seed| {
         let outcome = run(&Scenario {
             safeguards,
             ..Scenario::with_crashing_tasks(seed)
