--- a/crates/dispatcher-core/src/targets/room.rs
+++ b/crates/dispatcher-core/src/targets/room.rs
@@ -30,7 +30,7 @@
     /// Thousandths of a core in use.
     pub used_cpu: u32,
     /// Thousandths of a core that are free, or are expected to be before a task that comes now
-    /// may no longer begin.
+    /// may no longer begin, as far as ordinary tasks fit into them.
     pub soon_cpu: u32,
 }
 
@@ -68,6 +68,7 @@
     #[must_use]
     pub fn pool_rooms(&self, now: Millis) -> Vec<PoolRoom> {
         let mut rooms: Vec<PoolRoom> = Vec::new();
+        let ordinary_cpu = self.ordinary_cpu(now);
         for target in self.usable_targets(now) {
             let known = rooms.iter_mut().find(|room| room.pool == target.entry.pool);
             let room = match known {
@@ -77,11 +78,22 @@
                     rooms.last_mut().expect("just added")
                 }
             };
-            room.add(now, target);
+            room.add(now, target, ordinary_cpu);
         }
         rooms
     }
 
+    /// Returns the thousandths of a core of an ordinary attempt on the usable targets, 0 if none
+    /// runs.
+    fn ordinary_cpu(&self, now: Millis) -> u32 {
+        let usable = self.usable_targets(now);
+        let attempts = usable.flat_map(|target| target.attempts.values());
+        let (sum, count) = attempts.fold((0, 0), |(sum, count), attempt| {
+            (sum + u64::from(attempt.resources.cpu), count + 1)
+        });
+        (sum / u64::max(count, 1)) as u32
+    }
+
     /// Returns what the usable targets of a pool have, and what runs there.
     #[must_use]
     pub fn running_sizes(&self, now: Millis, pool: &Name) -> RunningSizes {
@@ -117,10 +129,20 @@
         }
     }
 
-    fn add(&mut self, now: Millis, target: &Target) {
+    fn add(&mut self, now: Millis, target: &Target, ordinary_cpu: u32) {
         let free = target.free().cpu;
+        let soon_cpu = free + target.expected_to_free(now, HANDED_MS);
         self.capacity_cpu += target.entry.capacity.cpu;
         self.used_cpu += target.entry.capacity.cpu.saturating_sub(free);
-        self.soon_cpu += free + target.expected_to_free(now, HANDED_MS);
+        self.soon_cpu += whole_tasks_cpu(soon_cpu, ordinary_cpu);
+    }
+}
+
+/// Returns how much of a target's room whole ordinary tasks take: what is left beside them on
+/// each target starts nothing, however much it is on all together.
+fn whole_tasks_cpu(room_cpu: u32, ordinary_cpu: u32) -> u32 {
+    match room_cpu.checked_div(ordinary_cpu) {
+        Some(tasks) => tasks * ordinary_cpu,
+        None => room_cpu,
     }
 }
