--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -10,7 +10,7 @@
 use crate::jobs::WaitingTask;
 use crate::message::{AttemptId, HandedTask, Reply, ReplyBody, Request, TaskOrder};
 use crate::peers::ChosenHolder;
-use crate::rules::backlog::{latest_begin, patience_ms};
+use crate::rules::backlog::{latest_begin, may_wait_ms, patience_ms};
 use crate::rules::holder_choice::{HolderView, Place, TaskView};
 use crate::targets::Reach;
 use crate::Millis;
@@ -31,6 +31,9 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
+        if task.alone {
+            return self.place_alone(now, pass, task, order, here);
+        }
         let here = here && self.leaves_room(now, &task.size(), &order.pool);
         if here && self.start_own(now, &task, &order, Reach::Near) {
             return;
@@ -42,11 +45,11 @@
             running_ms: order.estimate_ms,
             far_slowdown,
         };
-        let urgency = task.priority.urgency;
+        let priority = &task.priority;
         let is_asked = |name: &Name| pass.batches.contains_key(name);
         let chosen = if at_peers {
             self.peers
-                .choose_holder(now, &view, &order, urgency, own, is_asked)
+                .choose_holder(now, &view, &order, priority, own, is_asked)
         } else {
             Some(ChosenHolder::Own {
                 waits: own.near != Place::None,
@@ -69,6 +72,34 @@
         }
     }
 
+    /// Starts a task that is to run alone here, or asks a peer with an idle target to: it never
+    /// waits at a holder, where others would be started beside it.
+    fn place_alone(
+        &mut self,
+        now: Millis,
+        pass: &mut Pass,
+        task: WaitingTask,
+        order: TaskOrder,
+        here: bool,
+    ) {
+        if here && self.start_own(now, &task, &order, Reach::Alone) {
+            return;
+        }
+        let idle = self.peers.with_idle_target(now, &order);
+        match idle.filter(|_| task.may_ask) {
+            Some(peer) if peer.has_fresh_clock => {
+                self.jobs
+                    .handed_over(now, &task.job, task.index, &peer.name);
+                self.send_place(now, &peer.name, vec![order], Request::PlaceAlone);
+            }
+            Some(peer) => {
+                self.ask_clock(now, &peer.name);
+                pass.left.push(task);
+            }
+            None => pass.left.push(task),
+        }
+    }
+
     fn start_own(
         &mut self,
         now: Millis,
@@ -142,16 +173,16 @@
             return;
         };
         let clock = peer.echoed_clock.map_or(0, |echoed| echoed.clock);
-        let latest_begin = latest_begin(clock, now.saturating_sub(peer.clock_heard()));
+        let heard_ms_ago = now.saturating_sub(peer.clock_heard());
         peer.begin_use(now);
         let age_ms = now.saturating_sub(peer.free_heard);
         let tasks: Vec<HandedTask> = tasks
             .into_iter()
             .map(|(task, order)| HandedTask {
+                latest_begin: latest_begin(clock, heard_ms_ago, may_wait_ms(&task.priority)),
                 order,
                 queue: task.queue,
                 priority: task.priority,
-                latest_begin,
             })
             .collect();
         let ids: Vec<AttemptId> = tasks.iter().map(|task| task.order.id.clone()).collect();
--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -94,7 +94,16 @@
                 self.fetch_configuration(now, name);
                 reply
             }
-            Request::Place(orders) => self.asked_to_place(now, name, session, &orders),
+            Request::Place(orders) => {
+                self.asked_to_place(now, name, session, &orders, Reach::Anywhere)
+            }
+            Request::PlaceAlone(orders) => {
+                self.asked_to_place(now, name, session, &orders, Reach::Alone)
+            }
+            Request::Crashes(records) => {
+                self.jobs.told_crashes(now, &records);
+                ReplyBody::Acknowledged
+            }
             Request::Demand(demand) => {
                 if let Some(peer) = self.peers.get_mut(name) {
                     peer.set_demand(now, demand);
@@ -173,13 +182,14 @@
         })
     }
 
-    /// Starts those of a peer's tasks for which there is a target.
+    /// Starts those of a peer's tasks for which there is a target, as `start` does.
     fn asked_to_place(
         &mut self,
         now: Millis,
         name: &Name,
         session: OwnerSession,
         orders: &[TaskOrder],
+        reach: Reach,
     ) -> ReplyBody {
         let peer = self.peers.get(name);
         if !peer.is_some_and(|peer| peer.owner_lease.is_valid()) {
@@ -192,7 +202,7 @@
         let open = self.stopping.is_none();
         let mut started = Vec::new();
         for (position, order) in orders.iter().enumerate() {
-            if open && self.targets.start(now, &owner, order, Reach::Anywhere, 0) {
+            if open && self.targets.start(now, &owner, order, reach, 0) {
                 started.push(position as u32);
             }
         }
@@ -224,7 +234,8 @@
         let mut orders = Vec::new();
         for task in self.jobs.waiting(now, MAX_SCHEDULED) {
             let same_pool = *self.jobs.pool(&task.job) == free.pool;
-            if same_pool && resources.fits(&task.resources) {
+            // Others may run on the target where these resources are.
+            if !task.alone && same_pool && resources.fits(&task.resources) {
                 resources = resources.minus(&task.resources);
                 orders.push(self.jobs.order(&task.job, task.index));
                 self.jobs.handed_over(now, &task.job, task.index, name);
@@ -232,7 +243,7 @@
         }
         let interested = !orders.is_empty();
         if interested {
-            self.send_place(now, name, orders);
+            self.send_place(now, name, orders, Request::Place);
         }
         ReplyBody::Interested(interested)
     }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -60,6 +60,8 @@
     left: Vec<WaitingTask>,
     /// Tasks to be handed to peers.
     batches: BTreeMap<Name, Vec<TaskOrder>>,
+    /// Those of them that are to run alone on a target.
+    alone: BTreeMap<Name, Vec<TaskOrder>>,
     not_here: NotFound,
     not_at_peers: NotFound,
 }
@@ -96,7 +98,10 @@
         }
         self.reserve_for_peers(now, &mut pass, None);
         for (peer, orders) in pass.batches {
-            self.send_place(now, &peer, orders);
+            self.send_place(now, &peer, orders, Request::Place);
+        }
+        for (peer, orders) in pass.alone {
+            self.send_place(now, &peer, orders, Request::PlaceAlone);
         }
         self.advertise(now, &pass.left);
     }
@@ -123,11 +128,8 @@
             return;
         }
         let order = self.jobs.order(&task.job, task.index);
-        if here
-            && self
-                .targets
-                .start(now, &self.as_owner(), &order, Reach::Anywhere, 0)
-        {
+        let reach = reach_of(&task);
+        if here && self.targets.start(now, &self.as_owner(), &order, reach, 0) {
             self.jobs.started_here(now, &task.job, task.index);
             return;
         }
@@ -137,7 +139,12 @@
             Some(peer) if peer.has_fresh_clock => {
                 self.jobs
                     .handed_over(now, &task.job, task.index, &peer.name);
-                pass.batches.entry(peer.name).or_default().push(order);
+                let batches = if task.alone {
+                    &mut pass.alone
+                } else {
+                    &mut pass.batches
+                };
+                batches.entry(peer.name).or_default().push(order);
             }
             Some(peer) => {
                 self.ask_clock(now, &peer.name);
@@ -243,3 +250,12 @@
         }
     }
 }
+
+/// Returns on which targets a task may be started, wherever its data lies.
+fn reach_of(task: &WaitingTask) -> Reach {
+    if task.alone {
+        Reach::Alone
+    } else {
+        Reach::Anywhere
+    }
+}
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -35,6 +35,8 @@
     pub age_ms: Millis,
     /// Whether peers may be asked that are only believed to have the resources.
     pub may_ask: bool,
+    /// Whether it is to run alone on a target.
+    pub alone: bool,
 }
 
 impl WaitingTask {
@@ -96,6 +98,7 @@
                         estimate_ms: job.spec.steps[task.step].estimate_ms,
                         age_ms: now.saturating_sub(job.accepted),
                         may_ask: task.ask_after <= now,
+                        alone: self.runs_alone(now, || self.order(&ready.job, index).id.task),
                     });
                 }
             }
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -229,6 +229,12 @@
     StaleAttempt,
     /// The task was handed over and not begun, and never will be under this attempt's number.
     NotBegun,
+    /// The target crashed while only this attempt ran there.
+    CrashedAlone,
+    /// The target crashed while others ran there too.
+    CrashedBesideOthers,
+    /// The target crashed, and this attempt may have run there.
+    PerhapsCrashed,
 }
 
 impl AttemptOutcome {
@@ -241,6 +247,18 @@
             Self::Lost => "lost",
             Self::StaleAttempt => "outnumbered",
             Self::NotBegun => "not begun",
+            Self::CrashedAlone => "crashed",
+            Self::CrashedBesideOthers => "crashed beside others",
+            Self::PerhapsCrashed => "perhaps crashed",
+        }
+    }
+
+    /// Returns whether the target crashed.
+    #[must_use]
+    pub fn is_crash(self) -> bool {
+        match self {
+            Self::CrashedAlone | Self::CrashedBesideOthers | Self::PerhapsCrashed => true,
+            Self::Done | Self::Failed | Self::Lost | Self::StaleAttempt | Self::NotBegun => false,
         }
     }
 }
@@ -256,6 +274,21 @@
     pub target: Name,
 }
 
+/// How many targets crashed under a task, as one host counted them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The task's name.
+    pub task: Name,
+    /// The latest attempt that was counted.
+    pub attempt: u32,
+    /// While it was alone there.
+    pub alone: u32,
+    /// While others ran there too.
+    pub beside_others: u32,
+    /// Where it isn't sure that the task ran.
+    pub perhaps: u32,
+}
+
 /// What a host asks of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
@@ -300,6 +333,11 @@
         /// The version up to which the sender knows the list of targets, 0 for none.
         after: u64,
     },
+    /// Asks to start those tasks for which there is a target on which nothing else runs, nor
+    /// will beside them. Hosts of earlier releases can't read this: they start none.
+    PlaceAlone(Vec<TaskOrder>),
+    /// Tells of tasks under which targets crashed. Hosts of earlier releases can't read this.
+    Crashes(Vec<CrashRecord>),
 }
 
 impl Request {
@@ -309,6 +347,8 @@
         match self {
             Self::Heartbeat(_) => "beat",
             Self::Place(_) => "place",
+            Self::PlaceAlone(_) => "place-alone",
+            Self::Crashes(_) => "crashes",
             Self::Demand(_) => "want",
             Self::Reservation(_) => "offer",
             Self::HandOver(_) => "hand-over",
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -2,11 +2,14 @@
 //!
 //! Brings together what is known of each peer and [`crate::rules::peer_choice`].
 
+use std::collections::BTreeMap;
+
 use gannetridge_wire::Name;
 
 use super::{Peer, Peers};
-use crate::message::{PoolLoad, TaskOrder};
-use crate::rules::backlog::HANDED_MS;
+use crate::message::{PoolLoad, Priority, TaskOrder};
+use crate::rules::backlog::may_wait_ms;
+use crate::rules::hall_load::HallLoad;
 use crate::rules::holder_choice::{choose, Begin, HolderView, Place, TaskView};
 use crate::rules::peer_choice::{freer_of_two, Preference, ADVERTISED_PEERS};
 use crate::spec::Resources;
@@ -63,6 +66,16 @@
         open.flat_map(move |peer| peer.loads(now))
     }
 
+    /// Adds what living peers' targets have to do to the loads of their halls.
+    pub fn add_hall_loads(&self, now: Millis, halls: &mut BTreeMap<Name, HallLoad>) {
+        for peer in self.peers.values().filter(|peer| peer.takes_tasks(now)) {
+            for (load, age_ms) in peer.loads(now) {
+                let hall = halls.entry(peer.info.hall.clone()).or_default();
+                hall.add(load, age_ms);
+            }
+        }
+    }
+
     /// Returns whether a peer that was heard within a heartbeat had the resources for an order.
     #[must_use]
     pub fn has_room(&self, now: Millis, order: &TaskOrder) -> bool {
@@ -108,6 +121,22 @@
         Some(chosen)
     }
 
+    /// Returns a peer that is believed to have a target for a task on which nothing runs, the
+    /// own hall's first.
+    #[must_use]
+    pub fn with_idle_target(&self, now: Millis, order: &TaskOrder) -> Option<ChosenPeer> {
+        let peers = self.peers.values();
+        let idle = peers.filter(|peer| peer.takes_tasks(now) && peer.has_idle_target(order));
+        let chosen = idle.min_by_key(|peer| {
+            let other_hall = peer.info.hall != self.own.hall;
+            (other_hall, !peer.has_fresh_clock(now))
+        })?;
+        Some(ChosenPeer {
+            name: chosen.info.name.clone(),
+            has_fresh_clock: chosen.has_fresh_clock(now),
+        })
+    }
+
     /// Chooses the holder to which a task is handed, this host (`own`) among them, and takes
     /// the task off what is believed of a peer; see [`crate::rules::holder_choice`].
     ///
@@ -117,10 +146,11 @@
         now: Millis,
         task: &TaskView<'_>,
         order: &TaskOrder,
-        urgency: u8,
+        priority: &Priority,
         own: HolderView,
         is_asked: impl Fn(&Name) -> bool,
     ) -> Option<ChosenHolder> {
+        let urgency = priority.urgency;
         let open = self.peers.values().filter(|peer| peer.takes_tasks(now));
         let mut names: Vec<Option<&Name>> = vec![None];
         let mut views = vec![own];
@@ -145,7 +175,7 @@
                 news_age_ms: places.age_ms,
             });
         }
-        let choice = choose(task, &views, HANDED_MS)?;
+        let choice = choose(task, &views, may_wait_ms(priority))?;
         let Some(name) = names[choice.holder].cloned() else {
             return Some(ChosenHolder::Own {
                 waits: choice.begin == Begin::AfterWait,
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -26,6 +26,8 @@
 //! a task can't end in time even if it takes only `ESTIMATE_FLOOR` of its estimate; what
 //! runs is let run, since stopping it gains nothing.
 //!
+//! A job of which a task crashes its targets ends as failed; see [`super::crashes`].
+//!
 //! Only a job of which nothing can have begun is refused as not run: its caller
 //! may send it again without running anything twice. All others are unfinished.
 //!
@@ -91,7 +93,8 @@
     if !job.may_have_begun {
         let too_late = |estimate_ms: Millis| {
             let worthless = now + estimate_ms > worth_until;
-            worthless || (job.starting && earliest_end(now, estimate_ms) >= job.deadline)
+            let waits_on = job.starting || job.has_room;
+            worthless || (waits_on && earliest_end(now, estimate_ms) >= job.deadline)
         };
         let worthless = open_estimates.any(too_late);
         let waited_enough = now >= latest_begin(job, worth_until);
@@ -156,8 +159,9 @@
     match cause {
         EndCause::Done => Answer::Completed,
         EndCause::Cancelled => Answer::Cancelled,
-        EndCause::AttemptsExhausted => Answer::Failed,
+        EndCause::AttemptsExhausted | EndCause::Crashing => Answer::Failed,
         EndCause::Draining if not_run => refused_while_draining(),
+        EndCause::PerhapsCrashing => Answer::Unfinished,
         EndCause::Draining
         | EndCause::Deadline
         | EndCause::NoResources
--- a/crates/dispatcher-core/src/targets/learned.rs
+++ b/crates/dispatcher-core/src/targets/learned.rs
@@ -321,7 +321,10 @@
                 AttemptOutcome::Failed
                 | AttemptOutcome::Lost
                 | AttemptOutcome::StaleAttempt
-                | AttemptOutcome::NotBegun => {}
+                | AttemptOutcome::NotBegun
+                | AttemptOutcome::CrashedAlone
+                | AttemptOutcome::CrashedBesideOthers
+                | AttemptOutcome::PerhapsCrashed => {}
             }
         }
     }
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -28,8 +28,14 @@
         let Some(sent) = self.calls.remove(&call) else {
             return;
         };
-        if let Ok(reply) = &reply {
-            self.look_at_life(now, &sent, reply);
+        match &reply {
+            Ok(reply) => self.look_at_life(now, &sent, reply),
+            Err(SendFailure::Refused) => {
+                if let Some(target) = self.targets.get_mut(&sent.target) {
+                    target.refuses = true;
+                }
+            }
+            Err(SendFailure::NotSent | SendFailure::Unknown) => {}
         }
         let Sent {
             token,
@@ -94,8 +100,11 @@
                 clock,
                 running,
                 ended,
+                capacity,
                 ..
             }) => {
+                let told = target.take_listed_capacity(asked, capacity);
+                self.record_capacity(id, told, BeliefSource::Renewal);
                 let listing = Listing {
                     asked,
                     clock,
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -22,6 +22,9 @@
     Near,
     /// On any.
     Anywhere,
+    /// On those on which nothing else runs; nothing will beside it. See
+    /// [`crate::rules::crashes`].
+    Alone,
 }
 
 impl TargetLeases {
@@ -49,9 +52,14 @@
             return false;
         }
         let fitting = self.usable_targets(now).filter(|target| {
-            !target.is_reserved_for_others(now, &owner.host)
+            let allowed = match reach {
+                Reach::Near => !target_choice::is_far(&target.entry, order),
+                Reach::Anywhere => true,
+                Reach::Alone => target.is_idle(),
+            };
+            allowed
+                && !target.is_reserved_for_others(now, &owner.host)
                 && target_choice::suits(&target.entry, order)
-                && (reach == Reach::Anywhere || !target_choice::is_far(&target.entry, order))
                 && target.fits(order)
         });
         let cost = |target: &&Target| target.cost(now, order, self.far_slowdown);
@@ -62,6 +70,9 @@
         self.start_on(now, &id, owner, order);
         let target = self.targets.get_mut(&id).expect("the target was found");
         target.set_urgency(&order.id, urgency);
+        if reach == Reach::Alone {
+            target.quarantine(&order.id);
+        }
         true
     }
 
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -7,7 +7,7 @@
 
 use crate::decision::StopReason;
 use crate::event::{Born, CallId, ListedAttempt, TargetEntry};
-use crate::message::{AttemptId, FreeResources, TaskOrder};
+use crate::message::{AttemptId, AttemptOutcome, FreeResources, TaskOrder};
 use crate::rules::leases::{least_on_target_clock, Times};
 use crate::rules::progress::Progress;
 use crate::rules::target_choice::{self, Candidate};
@@ -16,6 +16,7 @@
 use crate::Millis;
 
 use super::attempt::{Attempt, Owner, StopStage};
+use super::capacity::Capacity;
 use super::learned::LearnedSpeed;
 use super::lease::{Lease, LeaseStage};
 
@@ -36,8 +37,9 @@
 /// One target as this host sees it.
 #[derive(Debug)]
 pub(super) struct Target {
-    /// What the platform's list says of it.
+    /// What the platform's list says of it, but for the capacity: that which is in force.
     pub(super) entry: TargetEntry,
+    pub(super) capacity: Capacity,
     /// Since when the list doesn't show it, if it doesn't.
     pub(super) unlisted_since: Option<Millis>,
     /// Whether its entry names no target to use; `entry` is the last one that did.
@@ -51,6 +53,13 @@
     /// When the life began that listed last, if it tells.
     pub(super) born: Option<Born>,
     reservation: Option<Reservation>,
+    /// The attempt beside which nothing else may run, while it is there.
+    alone: Option<AttemptId>,
+    /// Whether nothing listened at its address when it was called last.
+    pub(super) refuses: bool,
+    /// What it had when it was found to have started again, and how that ends where the new
+    /// life doesn't list it.
+    pub(super) lost_life: BTreeMap<AttemptId, AttemptOutcome>,
 }
 
 impl Target {
@@ -59,6 +68,7 @@
     /// `learned` is none where running times aren't learned.
     pub(super) fn new(entry: TargetEntry, learned: Option<LearnedSpeed>) -> Self {
         Self {
+            capacity: Capacity::new(entry.capacity),
             entry,
             unlisted_since: None,
             entry_unusable: false,
@@ -69,6 +79,9 @@
             clock: None,
             born: None,
             reservation: None,
+            alone: None,
+            refuses: false,
+            lost_life: BTreeMap::new(),
         }
     }
 
@@ -78,6 +91,7 @@
         self.reservation = None;
         self.clock = None;
         self.born = None;
+        self.forget_listed_capacity();
         self.health.forget_silence();
     }
 
@@ -86,8 +100,22 @@
         self.attempts.is_empty()
     }
 
+    /// Returns whether an attempt runs that nothing else may run beside.
+    fn is_quarantined(&self) -> bool {
+        let alone = self.alone.as_ref();
+        alone.is_some_and(|id| self.attempts.contains_key(id))
+    }
+
+    /// Has nothing else run beside an attempt.
+    pub(super) fn quarantine(&mut self, id: &AttemptId) {
+        self.alone = Some(id.clone());
+    }
+
     /// Returns the free resources.
     pub(super) fn free(&self) -> Resources {
+        if self.is_quarantined() {
+            return Resources::default();
+        }
         let attempts = self.attempts.values();
         attempts.fold(self.entry.capacity, |free, attempt| {
             free.minus(&attempt.resources)
@@ -116,7 +144,7 @@
             let same_step = attempts.filter(|attempt| attempt.counts_for(limit));
             same_step.count() < limit.most as usize
         });
-        spread && self.free().fits(&order.resources)
+        spread && !self.is_quarantined() && self.free().fits(&order.resources)
     }
 
     /// Returns what an order costs here; see [`target_choice::cost`].
@@ -249,6 +277,7 @@
             clock,
         });
         self.health.answered();
+        self.refuses = false;
     }
 
     /// Records a call without reply; returns whether the target is silent.
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -87,7 +87,7 @@
         }
         let mut only_draining = false;
         for target in self.targets.values() {
-            if !target_choice::could_run(&target.entry, order) {
+            if !target.could_run(order) {
                 continue;
             }
             if !self.is_draining(&target.entry.hall) {
--- a/crates/dispatcher-core/tests/learned_speeds.rs
+++ b/crates/dispatcher-core/tests/learned_speeds.rs
@@ -206,6 +206,20 @@
         stopped.collect()
     }
 
+    /// Returns the median running time over estimate that was last told of a kind.
+    fn median_told(&self, estimate: Millis) -> f64 {
+        let latest_first = self.rig.decisions.iter().rev();
+        let mut told = latest_first.filter_map(|decision| match decision {
+            Decision::TaskTimes {
+                estimate_ms,
+                median,
+                ..
+            } if *estimate_ms == Some(estimate) => Some(*median),
+            _ => None,
+        });
+        told.next().expect("told each 10 s")
+    }
+
     /// Returns how many attempts were done on all targets.
     fn done(&self) -> usize {
         self.machines.values().map(|machine| machine.done).sum()
@@ -300,6 +314,7 @@
             running: running.collect(),
             ended: self.ended.clone(),
             born: Some(self.born),
+            capacity: None,
         }
     }
 }
@@ -447,6 +462,8 @@
     fleet.pass(30_000);
     assert_eq!(fleet.stopped(), []);
     assert!(fleet.alarms(2.5) <= 2);
+    let median = fleet.median_told(128);
+    assert!((2.7..4.0).contains(&median), "{median}");
 });
 
 case!(an_attempt_that_advances_is_let_run_for_however_long, {
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -7,8 +7,8 @@
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
 use gannetridge_dispatcher_core::event::TargetChange;
 use gannetridge_dispatcher_core::message::{
-    AttemptEnd, AttemptId, AttemptOutcome, Demand, DrainingNews, EchoedClock, Envelope,
-    FreeResources, HandedTask, Heartbeat, HeartbeatReply, HolderLoad, HostInfo, ListNews,
+    AttemptEnd, AttemptId, AttemptOutcome, CrashRecord, Demand, DrainingNews, EchoedClock,
+    Envelope, FreeResources, HandedTask, Heartbeat, HeartbeatReply, HolderLoad, HostInfo, ListNews,
     PlatformNewsReply, PoolLoad, Priority, PriorityClass, Reply, ReplyBody, Request, SpreadLimit,
     StoreNewsReply, TargetRoom, TaskOrder, WaitingWork,
 };
@@ -144,20 +144,30 @@
 }
 
 fn ends() -> Vec<AttemptEnd> {
-    [
+    ended(&[
         AttemptOutcome::Done,
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
         AttemptOutcome::NotBegun,
-    ]
-    .into_iter()
-    .map(|outcome| AttemptEnd {
+    ])
+}
+
+fn crashes() -> Vec<AttemptEnd> {
+    ended(&[
+        AttemptOutcome::CrashedAlone,
+        AttemptOutcome::CrashedBesideOthers,
+        AttemptOutcome::PerhapsCrashed,
+    ])
+}
+
+fn ended(outcomes: &[AttemptOutcome]) -> Vec<AttemptEnd> {
+    let ends = outcomes.iter().map(|outcome| AttemptEnd {
         id: key(),
-        outcome,
+        outcome: *outcome,
         target: "target-7".into(),
-    })
-    .collect()
+    });
+    ends.collect()
 }
 
 fn queues() -> Configuration {
@@ -231,6 +241,15 @@
     request_offer: ask(Request::Reservation(free()));
     request_stop: ask(Request::Stop { keys: vec![key()], report: true });
     request_ended: ask(Request::Ended(ends()));
+    request_ended_crashed: ask(Request::Ended(crashes()));
+    request_place_alone: ask(Request::PlaceAlone(vec![plain_order()]));
+    request_crashes: ask(Request::Crashes(vec![CrashRecord {
+        task: key().task,
+        attempt: 3,
+        alone: 1,
+        beside_others: 2,
+        perhaps: 4,
+    }]));
     request_queues: ask(Request::Configuration);
     request_store_news: ask(Request::StoreNews { after: 300 });
     request_platform_news: ask(Request::PlatformNews { after: 300 });
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -264,6 +264,7 @@
             running: running.iter().map(without_progress).collect(),
             ended: ended.to_vec(),
             born: None,
+            capacity: None,
         };
         self.target_reply(call, reply);
     }
--- a/crates/dispatcher-core/tests/suspended.rs
+++ b/crates/dispatcher-core/tests/suspended.rs
@@ -131,6 +131,7 @@
         running: Vec::new(),
         ended: Vec::new(),
         born: None,
+        capacity: None,
     };
     rig.now += GAP_MS;
     rig.target_reply(call, reply);
--- a/crates/dispatcher-sim/src/scenario.rs
+++ b/crates/dispatcher-sim/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gannetridge_dispatcher_core::settings::{RunningTimes, WaitingAt, WaitingOrder};
 use gannetridge_dispatcher_core::{Bounds, Millis, Safeguards, Scheduling};
 
 use crate::checks::Violation;
@@ -28,6 +29,8 @@
     pub drain_gap_ms: Millis,
     /// The mean pause between targets that crash and start again under their id, none if 0.
     pub restart_gap_ms: Millis,
+    /// The first task of one of so many jobs crashes each target that starts it, none if 0.
+    pub one_bad_of: u64,
     /// Whether targets reject what doesn't fit.
     pub guards: bool,
     /// Whether hosts' notes and faults are printed.
@@ -54,6 +57,7 @@
             fault_gap_ms: 1_500,
             drain_gap_ms: 0,
             restart_gap_ms: 0,
+            one_bad_of: 0,
             guards: seed % 2 == 0,
             verbose: false,
             scheduling: Scheduling::default(),
@@ -79,6 +83,28 @@
         }
     }
 
+    /// The same, where tasks wait at holders, in one order, by learned running times.
+    #[must_use]
+    pub fn with_backlogs(seed: u64) -> Self {
+        Self {
+            scheduling: Scheduling {
+                waiting_at: WaitingAt::Holder,
+                order: WaitingOrder::Shares,
+                running_times: RunningTimes::Learned,
+            },
+            ..Self::with_drains(seed)
+        }
+    }
+
+    /// The same, where tasks crash each target that starts them.
+    #[must_use]
+    pub fn with_crashing_tasks(seed: u64) -> Self {
+        Self {
+            one_bad_of: 100,
+            ..Self::new(seed)
+        }
+    }
+
     /// The same, where the operator drains halls and takes them back all the time.
     #[must_use]
     pub fn with_drains(seed: u64) -> Self {
--- a/crates/dispatcher-sim/tests/promises.rs
+++ b/crates/dispatcher-sim/tests/promises.rs
@@ -88,6 +88,32 @@
     }
 }
 
+/// Tasks crash each target that starts them, beside faults of every kind.
+#[test]
+fn promises_are_kept_while_tasks_crash_their_targets() {
+    for seed in 1..=24 {
+        let outcome = run(&Scenario::with_crashing_tasks(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn crashes_that_nobody_counts_are_found() {
+    let safeguards = Safeguards {
+        crashes_are_counted: false,
+        ..Safeguards::default()
+    };
+    let found = (1..=80).any(|seed| {
+        let outcome = run(&Scenario {
+            safeguards,
+            ..Scenario::with_crashing_tasks(seed)
+        });
+        let mut violations = outcome.violations.iter();
+        violations.any(|v| v.rule == Rule::NotCrashedOn)
+    });
+    assert!(found, "nobody missed them");
+}
+
 #[test]
 fn a_life_that_is_taken_for_the_one_before_is_found() {
     let safeguards = Safeguards {
@@ -104,6 +130,44 @@
     assert!(found, "nobody missed it");
 }
 
+/// Tasks wait at the holders of targets, which die, freeze, are cut off, lose targets and drain.
+#[test]
+fn promises_are_kept_while_tasks_wait_at_holders() {
+    for seed in 1..=24 {
+        let outcome = run(&Scenario::with_backlogs(seed));
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn promises_are_kept_while_tasks_wait_at_holders_of_targets_that_start_again() {
+    // With seed 20 a job that waited while room was known wasn't answered before its deadline.
+    for seed in (1..=12).chain([20]) {
+        let outcome = run(&Scenario {
+            restart_gap_ms: 800,
+            ..Scenario::with_backlogs(seed)
+        });
+        assert_eq!(outcome.violations.first(), None, "seed {seed}");
+    }
+}
+
+/// An owner that tries a task elsewhere before its holder said that it wasn't begun.
+#[test]
+fn lost_attempts_that_are_not_waited_for_are_found_where_tasks_wait_at_holders() {
+    let safeguards = Safeguards {
+        lost_attempts_are_waited_for: false,
+        ..Safeguards::default()
+    };
+    let found = (1..=40).any(|seed| {
+        let outcome = run(&Scenario {
+            safeguards,
+            ..Scenario::with_backlogs(seed)
+        });
+        outcome.violations.iter().any(|v| v.rule == Rule::NotTwice)
+    });
+    assert!(found, "nobody missed it");
+}
+
 fn wide_with_drains(seed: u64) -> Scenario {
     Scenario {
         hosts: 8,
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,8 +2,13 @@
 //!
 //! `docs/OPERATIONS.md` lists them; `tests/operator_view.rs` holds their names and labels.
 
-use gannetridge_dispatcher_core::decision::{EndCause, EntryFault};
+use std::collections::BTreeMap;
+
+use gannetridge_dispatcher_core::decision::{
+    BeliefSource, EndCause, EntryFault, Suspicion, TargetBelief,
+};
 use gannetridge_dispatcher_core::dispatcher::Counts;
+use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
 use gannetridge_dispatcher_core::{Decision, Millis};
 use gannetridge_net::HttpReply;
 use gannetridge_process::metrics::{MetricsRegistry, TargetInfo};
@@ -31,6 +36,9 @@
     ends: Counter<u64>,
     handed_over: Counter<u64>,
     stops: Counter<u64>,
+    suspected: Counter<u64>,
+    capacity_changes: Counter<u64>,
+    unusable_capacities: Counter<u64>,
     took: Histogram<f64>,
     over_objective: Histogram<f64>,
     attempt_took: Histogram<f64>,
@@ -43,6 +51,10 @@
     known: Gauge<u64>,
     attempts: Gauge<u64>,
     freed_soon: Gauge<u64>,
+    tasks_of_peers: Gauge<u64>,
+    hall_cpu: Gauge<u64>,
+    hall_waiting: Gauge<u64>,
+    hall_news_age: Gauge<u64>,
     peers: Gauge<u64>,
     log_dropped: Gauge<u64>,
     slowdown: Gauge<f64>,
@@ -87,6 +99,18 @@
             ends: counter("run_ends", "Ends of runs, by how and what showed it"),
             handed_over: counter("tasks_asked", "Tasks handed to peers"),
             stops: counter("stops", "Runs that were to be ended, by reason"),
+            suspected: counter(
+                "tasks_suspected",
+                "Tasks under which targets crashed, by what they were taken for then",
+            ),
+            capacity_changes: counter(
+                "capacity_changes",
+                "Changes of what targets have, by what told them",
+            ),
+            unusable_capacities: counter(
+                "unusable_capacities",
+                "Targets that began to list a capacity that can't be read",
+            ),
             took: histogram("job_ms", "From the request to its answer", &MS),
             over_objective: histogram("job_over_aim", "Response over aim", &RATIO),
             attempt_took: histogram("run_ms", "From a start to its end", &MS),
@@ -102,6 +126,19 @@
                 "cpu_freed_soon",
                 "Thousandths of a core that runs are expected to free within 100 ms",
             ),
+            tasks_of_peers: gauge("tasks_of_peers", "Tasks of peers that wait here"),
+            hall_cpu: gauge(
+                "hall_cpu",
+                "Thousandths of a core of a hall's targets, and in use, as this host knows",
+            ),
+            hall_waiting: gauge(
+                "hall_waiting_core_ms",
+                "Work that waits in a hall by urgency, in core-ms, as this host knows",
+            ),
+            hall_news_age: gauge(
+                "hall_news_age_ms",
+                "Age of the oldest news of a hall's hosts",
+            ),
             peers: gauge("peers_alive", "Peers that are taken to live"),
             log_dropped: gauge("log_lines_dropped", "Log lines dropped"),
             slowdown: ratio(
@@ -115,9 +152,23 @@
             registry,
         };
         metrics.store.record(1, &[]);
+        metrics.show_rare_counters();
         Ok(metrics)
     }
 
+    /// Has counters shown as 0 of which most hosts never count anything.
+    fn show_rare_counters(&self) {
+        self.unusable_capacities.add(0, &[]);
+        for by in [BeliefSource::List, BeliefSource::Renewal] {
+            let by = KeyValue::new("by", by.as_str());
+            self.capacity_changes.add(0, &[by]);
+        }
+        for state in Suspicion::ALL {
+            let state = KeyValue::new("state", state.as_str());
+            self.suspected.add(0, &[state]);
+        }
+    }
+
     /// Returns the meter, for metrics that others keep.
     #[must_use]
     pub fn meter(&self) -> Meter {
@@ -165,6 +216,18 @@
             }
             Decision::Configuration { version, .. } => self.version.record(*version, &[]),
             Decision::Store { reachable } => self.store.record(u64::from(*reachable), &[]),
+            Decision::TaskSuspected { state, .. } => {
+                let state = KeyValue::new("state", state.as_str());
+                self.suspected.add(1, &[state]);
+            }
+            Decision::TargetCapacity { by, .. } => {
+                let by = KeyValue::new("by", by.as_str());
+                self.capacity_changes.add(1, &[by]);
+            }
+            Decision::Target {
+                state: TargetBelief::CapacityUnusable,
+                ..
+            } => self.unusable_capacities.add(1, &[]),
             Decision::JobAccepted { .. }
             | Decision::Target { .. }
             | Decision::HallDraining { .. }
@@ -220,6 +283,23 @@
         self.jobs.add(1, &[queue, cause]);
     }
 
+    /// Takes over what is known of each hall's targets.
+    pub fn observe_halls(&self, halls: &BTreeMap<Name, HallLoad>) {
+        for (hall, load) in halls {
+            let hall = KeyValue::new("hall", hall.to_string());
+            let part = |part: &'static str| [hall.clone(), KeyValue::new("part", part)];
+            self.hall_cpu.record(load.capacity_cpu, &part("capacity"));
+            self.hall_cpu.record(load.used_cpu, &part("used"));
+            for work in &load.waiting {
+                let urgency = KeyValue::new("urgency", i64::from(work.urgency));
+                self.hall_waiting
+                    .record(work.core_ms, &[hall.clone(), urgency]);
+            }
+            self.hall_news_age
+                .record(load.age_ms, std::slice::from_ref(&hall));
+        }
+    }
+
     /// Takes over how much a host has to do, and how many log lines were dropped.
     pub fn observe(&self, counts: &Counts, log_dropped: u64) {
         self.under_way.record(counts.jobs as u64, &[]);
@@ -228,6 +308,8 @@
         self.attempts.record(counts.attempts as u64, &[]);
         self.freed_soon
             .record(u64::from(counts.cpu_freed_soon), &[]);
+        self.tasks_of_peers
+            .record(counts.tasks_of_peers as u64, &[]);
         self.peers.record(counts.peers_alive as u64, &[]);
         self.halls_draining
             .record(counts.halls_draining as u64, &[]);
--- a/crates/dispatcher/tests/operator_view.rs
+++ b/crates/dispatcher/tests/operator_view.rs
@@ -9,10 +9,12 @@
 use gannetridge_dispatcher::traffic::{Direction, Traffic};
 use gannetridge_dispatcher_core::decision::{
     BeliefSource, ConfigurationSource, EndCause, EndEvidence, EntryFault, Forecast, PeerState,
-    Rejection, StopReason, StoreReading, TargetBelief,
+    Rejection, StopReason, StoreReading, Suspicion, TargetBelief,
 };
 use gannetridge_dispatcher_core::dispatcher::Counts;
-use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome};
+use gannetridge_dispatcher_core::message::{AttemptId, AttemptOutcome, PoolLoad, WaitingWork};
+use gannetridge_dispatcher_core::rules::hall_load::HallLoad;
+use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_dispatcher_core::{Bounds, Decision, Dispatcher, Millis, Safeguards, Settings};
 use serde_json::Value;
 
@@ -38,6 +40,28 @@
     }
 }
 
+fn pool_load() -> PoolLoad {
+    PoolLoad {
+        pool: "pool-1".into(),
+        capacity_cpu: 16_000,
+        used_cpu: 15_300,
+        queue_cpu: 4_000,
+        waiting: vec![WaitingWork {
+            urgency: 2,
+            tasks: 3,
+            core_ms: 1_440,
+        }],
+    }
+}
+
+fn resources(cpu: u32) -> Resources {
+    Resources {
+        cpu,
+        memory_mb: 64,
+        gpus: 0,
+    }
+}
+
 fn job_ended(cause: EndCause) -> Decision {
     Decision::JobEnded {
         job: "0123456789abcdef".into(),
@@ -127,6 +151,24 @@
             tail: 7.5,
             ends: 230,
         },
+        Decision::TaskSuspected {
+            task: key().task,
+            alone: 1,
+            beside_others: 1,
+            perhaps: 0,
+            state: Suspicion::GivenUp,
+        },
+        Decision::Target {
+            target: "target-7".into(),
+            state: TargetBelief::CapacityUnusable,
+            by: BeliefSource::Renewal,
+        },
+        Decision::TargetCapacity {
+            target: "target-7".into(),
+            capacity: resources(2_000),
+            used: resources(7_000),
+            by: BeliefSource::Renewal,
+        },
         Decision::Peer {
             peer: "host-b".into(),
             state: PeerState::Silent,
@@ -161,6 +203,9 @@
         AttemptOutcome::Failed,
         AttemptOutcome::Lost,
         AttemptOutcome::StaleAttempt,
+        AttemptOutcome::CrashedAlone,
+        AttemptOutcome::CrashedBesideOthers,
+        AttemptOutcome::PerhapsCrashed,
     ];
     notes.extend(ends.map(attempt_ended));
     notes
@@ -236,6 +281,9 @@
         ..dispatcher().counts(0)
     };
     metrics.observe(&counts, 5);
+    let mut hall = HallLoad::default();
+    hall.add(&pool_load(), 140);
+    metrics.observe_halls(&[("hall-a".into(), hall)].into());
     let text = String::from_utf8(metrics.text().unwrap()).unwrap();
     insta::assert_snapshot!("metrics", text);
 }
@@ -270,6 +318,7 @@
         EndEvidence,
         EntryFault,
         TargetBelief,
+        Suspicion,
         BeliefSource,
         PeerState,
         StoreReading,
