--- a/crates/dispatcher-core/src/dispatcher/peer_calls.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_calls.rs
@@ -21,9 +21,9 @@
 
 use super::Dispatcher;
 
-/// How long a peer's reply is awaited, in ms. Chosen, not measured.
+/// How long a peer's reply is awaited, in ms.
 const PEER_WAIT_MS: Millis = 300;
-/// Before a request that had no reply is sent again, in ms. Chosen, not measured.
+/// Before a request that had no reply is sent again, in ms.
 pub(super) const PEER_RETRY_MS: Millis = 100;
 /// Marks the numbers of calls to peers: calls to targets have theirs without it.
 const PEER_CALLS: u64 = 1 << 63;
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -20,7 +20,6 @@
 use super::Dispatcher;
 
 /// The most waiting tasks that are looked at after one event: bounds its cost.
-/// Chosen, not measured.
 pub(super) const MAX_SCHEDULED: usize = 64;
 
 /// The demand that was advertised last.
@@ -38,9 +37,7 @@
 }
 
 /// The peers' first demand in one pass. It is looked for once, and again after each
-/// reservation: with 42 hosts and twice the load that they can serve, decisions took 2.34 s
-/// of processor time when it was looked for before each waiting task, and 1.78 s since
-/// (seed 5 of the simulator, 238,000 events).
+/// reservation: looking for it before each waiting task takes far more processor time.
 #[derive(Default)]
 enum PeersFirst {
     /// It was not looked for since the last reservation.
--- a/crates/dispatcher-core/src/dispatcher/stopping.rs
+++ b/crates/dispatcher-core/src/dispatcher/stopping.rs
@@ -11,8 +11,7 @@
 
 use super::Dispatcher;
 
-/// The part of its grace period that a stopping host stays at least. Chosen, not
-/// measured.
+/// The part of its grace period that a stopping host stays at least.
 const STAYS_SHARE: f64 = 0.4;
 
 /// A stop in order.
--- a/crates/dispatcher-core/src/dispatcher/timers.rs
+++ b/crates/dispatcher-core/src/dispatcher/timers.rs
@@ -20,17 +20,16 @@
 use super::placement::has_room;
 use super::Dispatcher;
 
-/// Between ticks while jobs or attempts are under way, in ms: how finely deadlines
-/// and leases are seen. Chosen, not measured.
+/// Between ticks while jobs or attempts are under way, in ms: how finely deadlines and leases are
+/// seen.
 const TICK_MS: Millis = 10;
-/// Between ticks while nothing is under way, in ms. Chosen, not measured.
+/// Between ticks while nothing is under way, in ms.
 const IDLE_TICK_MS: Millis = 50;
-/// Between looks at which targets are this host's, in ms. Chosen, not measured.
+/// Between looks at which targets are this host's, in ms.
 const ASSIGNMENT_MS: Millis = 50;
 /// After its start a host waits this long for news of others before it acquires
-/// targets, in ms. With 100 the worth was the same (+0.0004, standard error 0.0023, 15
-/// played days in pairs): less where all hosts are stopped in turn, more after all of them
-/// were lost.
+/// targets, in ms: what a shorter wait gains after all hosts were lost it loses where they are
+/// stopped in turn.
 const SETTLE_MS: Millis = 250;
 
 /// When what is due; times in ms of this host's clock.
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -33,13 +33,11 @@
 use job::{Job, Ready, Task};
 pub use waiting::{demand, WaitingTask};
 
-/// How long a caller waits that names no time, in ms. Chosen, not measured.
+/// How long a caller waits that names no time, in ms.
 const DEFAULT_DEADLINE_MS: Millis = 5_000;
-/// Answers leave this long before callers stop waiting, in ms. Chosen, not
-/// measured.
+/// Answers leave this long before callers stop waiting, in ms.
 const ANSWER_MARGIN_MS: Millis = 20;
 /// The most jobs whose answers, or next attempts, are remembered: bounds memory.
-/// Chosen, not measured.
 const MAX_REMEMBERED: usize = 4_096;
 
 /// Something about an ended job that is remembered until a time.
--- a/crates/dispatcher-core/src/peers/mod.rs
+++ b/crates/dispatcher-core/src/peers/mod.rs
@@ -32,11 +32,9 @@
 use membership::Membership;
 pub use peer::{Peer, StopRequest};
 
-/// Between heartbeats to a peer that doesn't answer, and to seeds, in ms. Chosen,
-/// not measured.
+/// Between heartbeats to a peer that doesn't answer, and to seeds, in ms.
 const SILENT_HEARTBEAT_MS: Millis = 500;
-/// Hosts that weren't heard for this long are forgotten, in ms. Chosen, not
-/// measured.
+/// Hosts that weren't heard for this long are forgotten, in ms.
 const FORGET_MS: Millis = 60_000;
 
 /// All other hosts.
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -33,12 +33,7 @@
 //!
 //! **Inputs.** Times of the job in ms, whether it may have begun, whether any
 //! attempt runs, whether jobs wait that can be on time, the estimates of the open tasks.
-//! **Measured.** 504 for what may have run and 503 only for what can't have raised the
-//! first score of the turn resolver's site from 0.073 to 0.695, with no rule broken.
-//! Refusing what is passed over, with the rule of silent targets' leases: 0.824 to 0.833
-//! worth (standard error of the difference 0.003, 15 played days in pairs), 0.832 to 0.838
-//! with 41 hosts (0.002, 5 days). **Gives up.** A late answer to a
-//! job that would have found resources while none on time did.
+//! **Gives up.** A late answer to a job that would have found resources while none on time did.
 
 use crate::action::Answer;
 use crate::decision::EndCause;
@@ -46,17 +41,14 @@
 use crate::settings::WaitingOrder;
 use crate::Millis;
 
-/// A job of which nothing has begun in this part of its time is refused. With 0.2 the
-/// worth was the same (+0.0004, standard error 0.0017, 15 days in pairs).
+/// A job of which nothing has begun in this part of its time is refused.
 const WAIT_SHARE: f64 = 0.45;
-/// A host holds its first targets within this time of its start, in ms: 0.8 s at 0.12 core
-/// while 147 hosts start at once after all of them lost power, as played.
+/// A host holds its first targets within this time of its start, in ms, also where all hosts
+/// start at once after a loss of power.
 const STARTING_MS: Millis = 1_500;
-/// A task may take as little as this part of its estimate. Chosen, not
-/// measured.
+/// A task may take as little as this part of its estimate.
 const ESTIMATE_FLOOR: f64 = 0.5;
-/// The least and the longest time after which a refused caller may come back,
-/// in ms. Chosen, not measured.
+/// The least and the longest time after which a refused caller may come back, in ms.
 const RETRY_AFTER_MS: (Millis, Millis) = (500, 3_000);
 
 /// A job that has not ended; times in ms of this host's clock.
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -1,7 +1,7 @@
 //! The rules by which a host decides, a file each.
 //!
 //! Each file states one rule: in words first, then its inputs with their units,
-//! why it is so, what was measured and what it gives up, then its constants
+//! why it is so and what it gives up, then its constants
 //! and pure functions over small inputs. State lives elsewhere (`crate::jobs`,
 //! `crate::targets`, `crate::peers`) and asks here.
 //!
@@ -29,9 +29,8 @@
 //! | Which hosts is a peer told? | [`membership`] |
 //! | Who may start what until when? | [`leases`], [`heartbeat_intervals`] |
 //!
-//! A measurement says what was played and how often; *worth* is what the users' measures
-//! give a day, 1 at most. A constant without one says that it was chosen. The commits and
-//! runs behind them are named in `docs/`.
+//! Figures of tuning stand in `docs/design/figures-moved-from-code.md` and `docs/MEASURES.md`.
+//! Where a rule gives some, *worth* is what the users' measures give a day, 1 at most.
 
 pub mod admission;
 pub mod arrival;
--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -9,20 +9,17 @@
 //! it will end.
 //!
 //! **Inputs.** Percent of the work, the target's own clock and the estimate in ms: on one
-//! clock, so that a listing that was long on its way stalls nothing. **Measured.** Of attempts
-//! on a played day the progress of well ones grew evenly to 100, that of hung ones stayed at
-//! 0 for as long as their targets hung. Days on which a tenth of the targets hang for 5.5 s:
-//! 0.910 and 0.910 to 0.962 and 0.968 worth (two seeds in pairs, no processor time charged, with
-//! the changes of [`super::congestion`]). **Gives up.** Attempts shorter than a listing's round
-//! are judged after their time.
+//! clock, so that a listing that was long on its way stalls nothing. **Reason.** Well attempts
+//! advance evenly, those on a hung target not at all. **Gives up.** Attempts shorter than a
+//! listing's round are judged after their time.
 
 use crate::Millis;
 
-/// The shortest time without progress after which an attempt is stalled, in ms of the
-/// target's clock. Chosen, not measured.
+/// The shortest time without progress after which an attempt is stalled, in ms of the target's
+/// clock.
 const LEAST_STALL_MS: f64 = 100.0;
 /// An attempt that is so many times slower than estimated still shows progress.
-/// Above the slowest targets of the played days (6.5 times).
+/// Above what slow targets need.
 const SLOWEST: f64 = 10.0;
 /// Progress is told in whole percent: of two, one shows at least.
 const VISIBLE_PERCENT: f64 = 2.0;
--- a/crates/dispatcher-core/src/rules/retry.rs
+++ b/crates/dispatcher-core/src/rules/retry.rs
@@ -13,21 +13,18 @@
 //! over only after [`super::leases::Times::lost_attempts_over`].
 //!
 //! **Inputs.** The outcome, the task's failures so far, the queue's bound.
-//! **Measured.** Attempts that started again at the same number
-//! ended attempts of a later sending (14 of 300 seeds of the
-//! randomised run; none since). **Gives up.** A
-//! target at which one attempt was lost gets no later attempt of the same task.
+//! **Reason.** Attempts that started again at the same number would end attempts of a later
+//! sending. **Gives up.** A target at which one attempt was lost gets no later attempt of the
+//! same task.
 
 use crate::message::AttemptOutcome;
 
-/// A later attempt that a target has seen is passed by this much: it was sent by
-/// another host to which the caller had come before, so how far that host got
-/// isn't known. Chosen, not measured.
+/// A later attempt that a target has seen is passed by this much: it was sent by another host to
+/// which the caller had come before, so how far that host got isn't known.
 const STALE_ATTEMPT_SKIP: u32 = 16;
 /// Callers whose job was not completed may send it again for this long, in ms:
 /// its next attempts then follow on the earlier ones. It is also how long the
-/// answer to a job is remembered. Chosen, not measured; callers send again after
-/// 1.3 s.
+/// answer to a job is remembered: callers send again far sooner.
 pub const REMEMBERED_MS: crate::Millis = 6_000;
 
 /// What becomes of a task after an attempt.
--- a/crates/dispatcher-core/src/rules/target_choice.rs
+++ b/crates/dispatcher-core/src/rules/target_choice.rs
@@ -8,21 +8,19 @@
 //! first, so that large tasks find room), and each failure in a row 0.3.
 //!
 //! **Inputs.** Thousandths of a core, slowdowns as ratios, failures in a row.
-//! **Measured.** Attempts under way that are overdue count as slowdown too, and a
-//! crawling target gets one task at a time: 0.84 to 0.87 worth of a day on which 17 % of
-//! the targets run 6.5 times slower for 7 s, with shorter waits for replies. **Gives up.** The weights of free
-//! resources and of failures were chosen, not measured.
+//! Attempts under way that are overdue count as slowdown too, and a very slow target gets one
+//! task at a time; see [`super::target_health`]. **Gives up.** The best weights of free
+//! resources and of failures.
 
 use crate::event::TargetEntry;
 use crate::message::TaskOrder;
 use crate::spec::Resources;
 
-/// No target counts as faster than this. Chosen, not measured.
+/// No target counts as faster than this.
 const LEAST_SLOWDOWN: f64 = 0.5;
 /// What a target that stays wholly free costs more than one that gets full.
-/// Chosen, not measured.
 const FREE_WEIGHT: f64 = 0.5;
-/// What each failure in a row costs. Chosen, not measured.
+/// What each failure in a row costs.
 const FAILURE_WEIGHT: f64 = 0.3;
 
 /// What the cost of a target depends on.
--- a/crates/dispatcher-core/src/rules/target_health.rs
+++ b/crates/dispatcher-core/src/rules/target_health.rs
@@ -16,49 +16,39 @@
 //!   slow, and is suspended for an overrun only if no other attempt has ended well there for
 //!   half of its time. Failures count then as [`super::failure_source`] says.
 //!
-//! **Inputs.** Replies, ends of attempts, estimates in ms. **Measured**, worth of played
-//! days of one trouble each: two misses instead of one, and overdue attempts as slowdown,
-//! 0.63 to 0.78 where targets carry orders out late, 0.94 to 0.96 where they lose answers.
-//! Ending overruns after 2.6 times and 40 ms was better for slow targets (0.884 to 0.917)
-//! and worse for orders done late (0.830 to 0.725), a cut hall, bursts and targets without
-//! a voice; after 5.5 times and 250 ms no different. Moving attempts off targets that
-//! others show to be slow, and suspending those: worse, 0.833 to 0.826 (standard error
-//! 0.003, 15 days in pairs), since the targets were missed once they were well again.
+//! **Inputs.** Replies, ends of attempts, estimates in ms. **Reason.** Ending overruns
+//! sooner would help where targets are slow, and lose more where they carry orders out late.
+//! Attempts aren't moved off targets that others show to be slow: the targets would be missed
+//! once they are well again.
 //! **Gives up.** A task on a hung target that tells no progress waits for 4 times its
 //! estimate; where it does, see [`super::progress`].
 
 use crate::Millis;
 
-/// Failures in a row after which a target is suspended. Chosen, not measured.
+/// Failures in a row after which a target is suspended.
 const FAILURES_TO_SUSPEND: u32 = 2;
-/// The first suspension, in ms; doubles each time. Chosen, not measured.
+/// The first suspension, in ms; doubles each time.
 const FIRST_SUSPENSION_MS: Millis = 1_000;
-/// The longest suspension, in ms. Chosen, not measured.
+/// The longest suspension, in ms.
 const LONGEST_SUSPENSION_MS: Millis = 8_000;
-/// The most doublings of a suspension. Chosen, not measured.
+/// The most doublings of a suspension.
 const MOST_DOUBLINGS: u32 = 3;
-/// Calls in a row without reply after which a target is silent. See the measurements
-/// above.
+/// Calls in a row without reply after which a target is silent: one answer may be lost.
 const MISSES_TO_SILENCE: u32 = 2;
-/// The weight of the last attempt in the moving average of the slowdown. Chosen,
-/// not measured.
+/// The weight of the last attempt in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.4;
-/// One attempt moves the average as if it had taken between these many times its
-/// estimate. Chosen, not measured.
+/// One attempt moves the average as if it had taken between these many times its estimate.
 const SLOWDOWN_RANGE: (f64, f64) = (0.2, 5.0);
-/// A running attempt shows a slow target after this many times its estimate.
-/// Of attempts on well targets 5 % take as long (6,800 attempts of two played days).
+/// A running attempt shows a slow target after this many times its estimate: few attempts on
+/// well targets take as long.
 const OVERDUE_FACTOR: f64 = 1.8;
-/// Estimates of short tasks are off by this much besides, in ms: of tasks estimated to take
-/// less than 60 ms half take 1.5 times that and more, of longer ones 1.0 to 1.1 times.
+/// Estimates of short tasks are off by this much besides, in ms.
 const OVERDUE_MS: f64 = 30.0;
-/// A target of this slowdown gets one task at a time. The figure was chosen.
+/// A target of this slowdown gets one task at a time.
 pub const ONE_TASK_SLOWDOWN: f64 = 3.0;
-/// An attempt overruns after this many times its estimate. See the measurements
-/// above.
+/// An attempt overruns after this many times its estimate.
 const OVERRUN_FACTOR: f64 = 4.0;
-/// An attempt overruns no sooner than this beyond that, in ms. See the
-/// measurements above.
+/// An attempt overruns no sooner than this beyond that, in ms.
 const OVERRUN_MS: Millis = 150;
 /// A slow target's attempts are given up to this many times as long.
 const MOST_OVERRUN_SLOWDOWN: f64 = 2.0;
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -9,7 +9,7 @@
 use crate::Millis;
 
 /// The most tasks that one job may have. The size aimed for has jobs of up to
-/// 1,600 (docs/CAPACITY.md); a bound, not measured.
+/// 1,600 (docs/CAPACITY.md).
 pub const MAX_TASKS: usize = 2_000;
 /// The longest specification, in bytes: the platform's bound.
 pub const MAX_SPECIFICATION: usize = 4_000;
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -17,8 +17,8 @@
 use super::target::Target;
 use super::TargetLeases;
 
-/// Entries that are missing when the store is back are gone after this, in ms:
-/// targets may write them again before. Chosen, not measured.
+/// Entries that are missing when the store is back are gone after this, in ms: targets may write
+/// them again before.
 const BACK_AFTER_MS: Millis = 2_000;
 
 /// Whether the store answers, as far as this host knows.
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -46,11 +46,9 @@
 use target::Target;
 pub use usable::Runnable;
 
-/// How long a reply from a target is awaited, its own waiting aside, in ms. With 100 instead
-/// of 200, and two misses to silence, a day on which targets carry orders out late rose from
-/// 0.63 to 0.78 worth (one play).
+/// How long a reply from a target is awaited, its own waiting aside, in ms.
 const REPLY_WAIT_MS: Millis = 100;
-/// Between calls to a target that doesn't answer, in ms. Chosen, not measured.
+/// Between calls to a target that doesn't answer, in ms.
 const SILENT_RETRY_MS: Millis = 100;
 
 /// What ends within this is about to, in ms: a task that comes now may as well wait for it.
@@ -103,8 +101,7 @@
     /// The targets whose leases this host holds or acquires.
     leased: BTreeSet<Name>,
     /// These, and those given up on which attempts of this host may still run: all that
-    /// anything may be due for. With 1,100 targets known to each of 147 hosts, looking at
-    /// all of them each 10 ms took 29 % of the decisions' processor time (simulator, seed 5).
+    /// anything may be due for. Looking at all known targets at each tick would cost too much.
     active: BTreeSet<Name>,
     /// The targets that the list doesn't show.
     unlisted: BTreeSet<Name>,
@@ -206,8 +203,7 @@
     }
 
     /// Returns whether any attempt runs on a target, or has an end that no one took yet.
-    /// Asked after each event: looking at all targets instead took 18 % of the decisions'
-    /// processor time with 351 of them (simulator, seed 5 of 42 hosts).
+    /// Asked after each event: looking at all targets instead would cost too much.
     #[must_use]
     pub fn has_attempts(&self) -> bool {
         !self.tasks.is_empty()
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -12,8 +12,8 @@
 use super::target::Target;
 use super::{Purpose, TargetLeases, REPLY_WAIT_MS};
 
-/// How long a target may wait for an end before it answers a renewal, where an end
-/// is awaited that other news may show, in ms. Chosen, not measured.
+/// How long a target may wait for an end before it answers a renewal, where an end is awaited that
+/// other news may show, in ms.
 const AWAITED_END_WAIT_MS: Millis = 20;
 
 impl TargetLeases {
@@ -78,14 +78,11 @@
 /// What a new holder finds is nobody's: its lease isn't extended. Nor are this host's
 /// own attempts as long as it doesn't know what others run beside them. Of a silent
 /// target each renewal may have arrived, so that one that extends the lease puts off
-/// the time at which its attempts are over for certain: on a played day tasks of targets
-/// that were dead for 4.9 s were taken for lost 5.2 s after the targets died; since then
-/// 0.7 s after (`tests/target_leases.rs`).
+/// the time at which its attempts are over for certain (`tests/target_leases.rs`).
 ///
 /// After a call without reply the target may have started again with a clock that began anew: it
 /// would take a time of the old clock for the longest lease that it grants, on all that it runs
-/// from then on. Guards against a holder that takes such attempts for over while they run (2
-/// of 200 seeds of the simulator with targets that restart; none of 300 since).
+/// from then on. Guards against a holder that takes such attempts for over while they run.
 fn renews_lease(target: &Target) -> bool {
     target.lease.is_held() && !target.is_idle() && target.knows_life()
 }
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -15,11 +15,9 @@
 use super::lives::heeded_clock;
 use super::{Purpose, Sent, TargetLeases, SILENT_RETRY_MS};
 
-/// Between renewals of a target on which nothing runs, in ms. Chosen, not
-/// measured.
+/// Between renewals of a target on which nothing runs, in ms.
 const IDLE_RENEWAL_MS: Millis = 3_000;
-/// Between tries at a target that doesn't answer and isn't held, in ms. Chosen,
-/// not measured.
+/// Between tries at a target that doesn't answer and isn't held, in ms.
 const ACQUIRE_RETRY_MS: Millis = 500;
 
 impl TargetLeases {
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -11,8 +11,7 @@
 use super::target::Target;
 use super::{Owner, Purpose, TargetLeases};
 
-/// How long resources are reserved for a peer at most, in ms. Chosen, not
-/// measured.
+/// How long resources are reserved for a peer at most, in ms.
 const RESERVATION_MS: Millis = 30;
 
 /// On which targets a task may be started.
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -12,8 +12,8 @@
 
 use super::{OwnerSession, Purpose, TargetLeases, REPLY_WAIT_MS, SILENT_RETRY_MS};
 
-/// How long it is remembered that an attempt was stopped before it came, in ms: a
-/// request to start it may be on its way. Chosen, not measured.
+/// How long it is remembered that an attempt was stopped before it came, in ms: a request to start
+/// it may be on its way.
 const STOPPED_EARLY_MS: Millis = 3_000;
 
 /// An attempt that is being stopped.
@@ -70,8 +70,7 @@
 
     /// Stops all attempts of an owner that belong to sessions before `session`: also those
     /// of an earlier incarnation that had the same number. Guards against two runs of a task
-    /// at once after an owner died and was back within its lease, which renewed it (1 of 300
-    /// seeds of the randomised run).
+    /// at once after an owner died and was back within its lease, which renewed it.
     pub fn stop_owner(
         &mut self,
         now: Millis,
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -260,7 +260,7 @@
 
     /// Records that it may have started again since it was heard: nothing is started there
     /// until it is heard again. Guards against a host that stood still and takes the next life
-    /// for the one that it knew (2 of 300 seeds of the simulator with targets that restart).
+    /// for the one that it knew.
     pub(super) fn doubt_life(&mut self) {
         self.clock = None;
     }
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -19,13 +19,12 @@
 use super::target::Target;
 use super::TargetLeases;
 
-/// How long a host that should leave a target to another waits for it to be empty
-/// before it starts nothing more there, in ms. Chosen, not measured.
+/// How long a host that should leave a target to another waits for it to be empty before it starts
+/// nothing more there, in ms.
 const RELEASE_PATIENCE_MS: Millis = 1_000;
 /// The most targets with free resources that a reply tells of: a peer hands over what finds
 /// no target in its own hall, and hears again with its next request. Each takes some 20 bytes
-/// of every reply, as reckoned. With all told instead of four: slow targets 0.879 and 0.881 worth,
-/// orders carried out late 0.842 and 0.838 (6 seeds each): no difference. The figure was chosen.
+/// of every reply.
 const FREE_TOLD: usize = 4;
 
 /// Where a task could be run, once there are the resources.
