Say in the new rules' comments what a newcomer would ask

Change: comments corrected, and added to some private functions; the private LONGEST_ESTIMATE_MS is LONGEST_USABLE_ESTIMATE_MS. No behaviour changed.

--- a/crates/dispatcher-core/src/rules/hall_load.rs
+++ b/crates/dispatcher-core/src/rules/hall_load.rs
@@ -37,6 +37,7 @@
         }
     }
 
+    /// Adds work to that of its urgency; keeps the order.
     fn add_waiting(&mut self, work: &WaitingWork) {
         let position = self
             .waiting
--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -137,7 +137,7 @@
         true
     }
 
-    /// Forgets what has decayed to less than a thousandth of a core for 1 ms.
+    /// Lets what arrived decay, and forgets what is less than a thousandth of a core for 1 ms.
     fn decay(&mut self, now: Millis) {
         let passed = now.saturating_sub(self.decayed) as f64;
         let kept = (-passed / HALF_LIFE_MS).exp2();
--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -23,7 +23,6 @@
 const SLOWEST: f64 = 10.0;
 /// Progress is told in whole percent: of two, one shows at least.
 const VISIBLE_PERCENT: f64 = 2.0;
-
 /// The longest tasks of a kind are far rarer than others: these show a percent at least.
 const SHOWN_PERCENT: f64 = 1.0;
 /// An attempt that is so many times slower than it was has been slowed: far more than what
@@ -155,6 +154,7 @@
         self.pace_ms().unwrap_or(run_ms * 100.0 / done)
     }
 
+    /// Returns whether nothing was done for the time in which some would show, in ms.
     fn is_still_for(&self, clock: Millis, visible_ms: f64) -> bool {
         let still_ms = clock.saturating_sub(self.since) as f64;
         still_ms >= visible_ms.max(LEAST_STALL_MS)
--- a/crates/dispatcher-core/src/rules/running_time.rs
+++ b/crates/dispatcher-core/src/rules/running_time.rs
@@ -7,9 +7,9 @@
 //! owner, each divided by how slow its target is ([`super::target_speed`]) and by what its
 //! data's distance costs. Ends fade with `MEMORY_MS` and `MEMORY_ENDS`, whichever is
 //! shorter, but for the last few. Where most of the last ends lie beyond what was usual, all
-//! before them are forgotten: the work has changed. Below them lie a few imagined ends around the estimate, which alone speak for a
-//! kind that isn't known. From this follow the median, the tail, and what is left of a task that
-//! has run for some time. A task *overruns* after `OVERRUN_TAILS` times the tail.
+//! before them are forgotten: the work has changed. A few imagined ends around the estimate are
+//! added, which alone speak for a kind that isn't known. From this follow the median, the tail,
+//! and what is left of a task that has run for some time. A task *overruns* after `OVERRUN_TAILS` times the tail.
 //!
 //! **Inputs.** Ratios without unit, times in ms. **Reason.** A histogram shows what a mean and a
 //! spread don't: that a few tasks take many times as long by their own nature, so that a task
@@ -63,7 +63,7 @@
 /// No estimate counts as shorter than this, in ms: calls and listings take as long.
 const SHORTEST_ESTIMATE_MS: Millis = 10;
 /// A longer estimate counts as none, in ms: it is beyond all that callers wait for.
-const LONGEST_ESTIMATE_MS: Millis = 600_000;
+const LONGEST_USABLE_ESTIMATE_MS: Millis = 600_000;
 
 /// Returns what a caller's estimate counts as, in ms.
 #[must_use]
@@ -77,7 +77,7 @@
 
 /// Returns whether a caller's estimate says anything.
 fn is_told(estimate_ms: Millis) -> bool {
-    (1..=LONGEST_ESTIMATE_MS).contains(&estimate_ms)
+    (1..=LONGEST_USABLE_ESTIMATE_MS).contains(&estimate_ms)
 }
 
 /// A kind of task: what tasks have in common whose running times are learned together.
@@ -170,6 +170,7 @@
         }
     }
 
+    /// Lets the ends fade by the time since they last did, and by one more end.
     fn fade(&mut self, now: Millis) {
         let since = now.saturating_sub(self.at) as f32;
         let by_time = (-since / MEMORY_MS as f32).exp();
--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -65,20 +65,20 @@
 /// Virtual times of those who share something.
 #[derive(Clone, Debug, Default)]
 struct FairQueue {
-    /// Where one begins that returns.
+    /// The virtual time at which a name begins that has had no waiting task.
     virtual_time: f64,
-    /// Until where those are served that are further.
+    /// Names that were served beyond it, and up to which virtual time.
     served: Vec<(Name, f64)>,
 }
 
 impl FairQueue {
-    /// Returns where the next task of a name begins.
+    /// Returns the virtual time at which the next task of a name begins.
     fn start_of(&self, name: &Name) -> f64 {
         let found = self.served.iter().find(|(other, _)| other == name);
         found.map_or(self.virtual_time, |(_, until)| until.max(self.virtual_time))
     }
 
-    /// Returns whether a name is further than the one that is least ahead.
+    /// Returns whether a name was served beyond the virtual time.
     fn is_ahead(&self, name: &Name) -> bool {
         self.start_of(name) > self.virtual_time
     }
@@ -201,6 +201,7 @@
         used < LEAST_SHARE * all
     }
 
+    /// Lets what urgencies used decay.
     fn decay(&mut self, now: Millis) {
         let passed = now.saturating_sub(self.decayed) as f64;
         let kept = (-passed / HALF_LIFE_MS).exp2();
@@ -211,6 +212,7 @@
     }
 }
 
+/// Returns the weight of a name, above 0.
 fn weight(weights: &BTreeMap<Name, u32>, name: &Name) -> f64 {
     let weight = weights.get(name).copied().unwrap_or(1);
     f64::from(weight.max(1))
--- a/crates/dispatcher-core/src/rules/target_speed.rs
+++ b/crates/dispatcher-core/src/rules/target_speed.rs
@@ -1,4 +1,4 @@
-//! How slow a target is beside others, apart from the luck of its tasks.
+//! How slow a target is beside others, apart from which tasks it happened to run.
 //!
 //! **Rule.** For each target, a *belief*: how likely it is that tasks take so many times as long
 //! there as on an ordinary target, in steps of a third of an octave from 0.4 to 10. Each end
@@ -7,8 +7,8 @@
 //! belief returns, by a third in 2 s, to what the target was for long, and to what any
 //! target may be: one that turned slow gets tasks again, and a change is believed soon. Attempts
 //! that still run count by their pace where progress is told, and more if that has changed,
-//! else by having lasted so long; they are reckoned in when asked, and not kept. A target without ends is believed to be
-//! like those of its labels and size. The slowdown is the belief's mean, in logarithms.
+//! else by having lasted so long; they are reckoned in when asked, and not kept. A target
+//! without ends is believed to be like those of its labels and size. The slowdown is the belief's mean, in logarithms.
 //!
 //! **Inputs.** Ratios of running time to estimate, with distance of data taken out; ms. **Reason.**
 //! An average of ratios is moved by one odd task; a median of the last few forgets nothing at
@@ -19,7 +19,7 @@
 use super::running_time::{RunningTimes, STEPS_PER_OCTAVE};
 use crate::Millis;
 
-/// Steps of the belief.
+/// Steps of the belief, as wide as those of running times.
 const STEPS: usize = 15;
 /// Steps of the belief below a slowdown of 1.
 const STEPS_BELOW_ONE: usize = 4;
@@ -36,7 +36,6 @@
 const LEAST_ENDS: u32 = 8;
 /// How many targets it takes to say what is common to them.
 const LEAST_TARGETS: usize = 3;
-
 /// So many steps are a factor of 1.4.
 const NEAR_STEPS: f32 = 1.5;
 
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -68,7 +68,8 @@
     /// From its caller's estimate.
     #[default]
     Estimated,
-    /// From earlier tasks of its queue, and the speed of its target.
+    /// From earlier tasks of its kind, and the speed of its target; see
+    /// [`crate::rules::running_time`].
     Learned,
 }
 
