--- a/crates/dispatcher-core/src/targets/learned.rs
+++ b/crates/dispatcher-core/src/targets/learned.rs
@@ -19,7 +19,7 @@
 use crate::rules::running_time::{usable_estimate_ms, RunningTimes, TaskKind};
 use crate::rules::target_health::ONE_TASK_SLOWDOWN;
 use crate::rules::target_speed::{common, Running, Slowdown, TargetSpeed};
-use crate::settings::{RunningTimes as Way, Settings};
+use crate::settings::{RunningTimes as RunningTimesFrom, Settings};
 use crate::Millis;
 
 use super::attempt::{Attempt, EndReport, Forecast};
@@ -85,7 +85,7 @@
     }
 
     /// Returns whether it is so surely slow that it gets one task at a time.
-    pub(super) fn crawls(&self) -> bool {
+    pub(super) fn is_very_slow(&self) -> bool {
         self.slowdown.factor >= ONE_TASK_SLOWDOWN && self.slowdown.certainty >= SURE
     }
 }
@@ -93,7 +93,7 @@
 impl LearnedTimes {
     /// Returns what is known at the start, where the deployment asks for it.
     pub(super) fn wanted(settings: &Settings) -> Option<Self> {
-        let wanted = settings.scheduling.running_times == Way::Learned;
+        let wanted = settings.scheduling.running_times == RunningTimesFrom::Learned;
         wanted.then(|| Self {
             kinds: HashMap::new(),
             unknown: RunningTimes::new(0),
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -133,8 +133,11 @@
     /// Returns whether tasks may be started, as far as the target itself has shown.
     pub(super) fn takes_task(&self, now: Millis) -> bool {
         let known = self.lease.is_held() && self.clock.is_some();
-        let crawls = self.learned.as_ref().is_some_and(LearnedSpeed::crawls);
-        known && self.health.takes_task(now, self.is_idle()) && (self.is_idle() || !crawls)
+        let is_very_slow = self
+            .learned
+            .as_ref()
+            .is_some_and(LearnedSpeed::is_very_slow);
+        known && self.health.takes_task(now, self.is_idle()) && (self.is_idle() || !is_very_slow)
     }
 
     /// Returns whether an order fits now.
