--- a/crates/dispatcher-core/src/dispatcher/peer_requests.rs
+++ b/crates/dispatcher-core/src/dispatcher/peer_requests.rs
@@ -18,7 +18,7 @@
 use crate::Millis;
 
 use super::peer_calls::SEED_SESSION;
-use super::placement::MAX_SCHEDULED;
+use super::placement::{MAX_SCHEDULED, URGENCY_NOT_TOLD};
 use super::Dispatcher;
 
 impl Dispatcher {
@@ -202,7 +202,11 @@
         let open = self.stopping.is_none();
         let mut started = Vec::new();
         for (position, order) in orders.iter().enumerate() {
-            if open && self.targets.start(now, &owner, order, reach, 0) {
+            if open
+                && self
+                    .targets
+                    .start(now, &owner, order, reach, URGENCY_NOT_TOLD)
+            {
                 started.push(position as u32);
             }
         }
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -21,6 +21,8 @@
 
 /// The most waiting tasks that are looked at after one event: bounds its cost.
 pub(super) const MAX_SCHEDULED: usize = 64;
+/// The urgency of tasks whose queue's isn't told with their orders: the most urgent.
+pub(super) const URGENCY_NOT_TOLD: u8 = 0;
 
 /// The demand that was advertised last.
 #[derive(Clone, Debug)]
@@ -126,7 +128,11 @@
         }
         let order = self.jobs.order(&task.job, task.index);
         let reach = reach_of(&task);
-        if here && self.targets.start(now, &self.as_owner(), &order, reach, 0) {
+        if here
+            && self
+                .targets
+                .start(now, &self.as_owner(), &order, reach, URGENCY_NOT_TOLD)
+        {
             self.jobs.started_here(now, &task.job, task.index);
             return;
         }
