Split the long functions of tasks that wait at holders

Cause: the owner's choice of a holder, the peers' choice and the loads of pools were functions of about 50 lines, or loops within loops; two structs were named Pass in neighbouring modules, and two enums Next.

Change: `choose_holder` is taken out of `place_own`, `holder_view` out of the peers' `choose_holder`, `pool_load` out of `pool_loads`; the holder's pass is `BacklogPass`, a task in it `WaitingHere`. Lines moved, nothing else.

--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -30,7 +30,7 @@
 
 /// One pass over the tasks that wait here.
 #[derive(Default)]
-pub(super) struct Pass {
+pub(super) struct BacklogPass {
     /// Tasks of this host's callers for which nothing was found.
     pub(super) left: Vec<WaitingTask>,
     /// Tasks to be handed over.
@@ -43,7 +43,7 @@
     not_at_peers: NotFound,
 }
 
-impl Pass {
+impl BacklogPass {
     /// Returns whether a task that needs so much may find a target here.
     pub(super) fn may_start_here(
         &mut self,
@@ -72,14 +72,14 @@
 }
 
 /// A task that waits here.
-enum Next {
+enum WaitingHere {
     /// Of a caller of this host.
     Own(WaitingTask),
     /// Of a peer.
     Handed(Priority, Handed),
 }
 
-impl Next {
+impl WaitingHere {
     fn priority(&self) -> &Priority {
         match self {
             Self::Own(task) => &task.priority,
@@ -111,11 +111,14 @@
     /// what finds a target sooner elsewhere.
     pub(super) fn schedule_with_backlog(&mut self, now: Millis) {
         let waiting = self.waiting_here(now);
-        let mut pass = Pass {
+        let mut pass = BacklogPass {
             starts_here: self.starts_here(now),
-            ..Pass::default()
+            ..BacklogPass::default()
         };
-        if waiting.iter().any(|next| matches!(next, Next::Own(_))) {
+        if waiting
+            .iter()
+            .any(|next| matches!(next, WaitingHere::Own(_)))
+        {
             pass.own_loads = self.pool_loads(now);
         }
         match self.settings.scheduling.order {
@@ -130,15 +133,20 @@
     }
 
     /// Returns the tasks that wait here: this host's callers' first, by priority.
-    fn waiting_here(&self, now: Millis) -> Vec<Next> {
+    fn waiting_here(&self, now: Millis) -> Vec<WaitingHere> {
         let own = self.jobs.waiting(now, MAX_SCHEDULED);
-        let own = own.into_iter().map(Next::Own);
+        let own = own.into_iter().map(WaitingHere::Own);
         let handed = self.backlog.iter();
-        let handed = handed.map(|handed| Next::Handed(handed.priority(now), handed.clone()));
+        let handed = handed.map(|handed| WaitingHere::Handed(handed.priority(now), handed.clone()));
         own.chain(handed).collect()
     }
 
-    fn place_by_class(&mut self, now: Millis, pass: &mut Pass, mut waiting: Vec<Next>) {
+    fn place_by_class(
+        &mut self,
+        now: Millis,
+        pass: &mut BacklogPass,
+        mut waiting: Vec<WaitingHere>,
+    ) {
         waiting.sort_by(|a, b| {
             let order = a.priority().partial_cmp(b.priority());
             order.unwrap_or(Ordering::Equal)
@@ -149,7 +157,7 @@
     }
 
     /// Places tasks by urgency and shares; who is due changes with each start.
-    fn place_by_shares(&mut self, now: Millis, pass: &mut Pass, waiting: &[Next]) {
+    fn place_by_shares(&mut self, now: Millis, pass: &mut BacklogPass, waiting: &[WaitingHere]) {
         let own_hall = self.own.hall.clone();
         let mut line = Line::new(waiting.iter().map(|next| next.as_waiting(&own_hall)));
         self.shares.advance(now, line.origins());
@@ -158,10 +166,10 @@
         }
     }
 
-    fn place_next(&mut self, now: Millis, pass: &mut Pass, next: &Next) {
+    fn place_next(&mut self, now: Millis, pass: &mut BacklogPass, next: &WaitingHere) {
         match next {
-            Next::Own(task) => self.place_own(now, pass, task.clone()),
-            Next::Handed(_, handed) => self.place_handed(now, pass, handed),
+            WaitingHere::Own(task) => self.place_own(now, pass, task.clone()),
+            WaitingHere::Handed(_, handed) => self.place_handed(now, pass, handed),
         }
     }
 
@@ -191,7 +199,7 @@
     }
 
     /// Starts a task of a peer that waits here, if a target has room.
-    fn place_handed(&mut self, now: Millis, pass: &mut Pass, handed: &Handed) {
+    fn place_handed(&mut self, now: Millis, pass: &mut BacklogPass, handed: &Handed) {
         let needed = handed.task.order.resources;
         let here = pass.may_start_here(&needed, |r| self.targets.may_fit(now, r));
         let size = handed.size();
--- a/crates/dispatcher-core/src/dispatcher/handing_over.rs
+++ b/crates/dispatcher-core/src/dispatcher/handing_over.rs
@@ -15,14 +15,14 @@
 use crate::targets::Reach;
 use crate::Millis;
 
-use super::backlog::Pass;
+use super::backlog::BacklogPass;
 use super::peer_calls::{body, Purpose};
 use super::Dispatcher;
 
 impl Dispatcher {
     /// Starts a task of a caller of this host here, or picks a peer that will have a target
     /// for it sooner.
-    pub(super) fn place_own(&mut self, now: Millis, pass: &mut Pass, task: WaitingTask) {
+    pub(super) fn place_own(&mut self, now: Millis, pass: &mut BacklogPass, task: WaitingTask) {
         let here = pass.may_start_here(&task.resources, |r| self.targets.may_fit(now, r));
         let at_peers =
             task.may_ask && pass.may_hand_over(&task.resources, |r| self.peers.may_take(now, r));
@@ -39,17 +39,8 @@
             return;
         }
         let own = self.own_view(now, pass, &task, &order, here);
-        let far_slowdown = self.settings.far_slowdown;
-        let view = TaskView {
-            name: &order.id.task,
-            running_ms: order.estimate_ms,
-            far_slowdown,
-        };
-        let priority = &task.priority;
-        let is_asked = |name: &Name| pass.batches.contains_key(name);
         let chosen = if at_peers {
-            self.peers
-                .choose_holder(now, &view, &order, priority, own, is_asked)
+            self.choose_holder(now, pass, &task, &order, own)
         } else {
             Some(ChosenHolder::Own {
                 waits: own.near != Place::None,
@@ -72,12 +63,31 @@
         }
     }
 
+    /// Chooses the holder of a task among this host, which offers `own`, and its peers.
+    fn choose_holder(
+        &mut self,
+        now: Millis,
+        pass: &BacklogPass,
+        task: &WaitingTask,
+        order: &TaskOrder,
+        own: HolderView,
+    ) -> Option<ChosenHolder> {
+        let view = TaskView {
+            name: &order.id.task,
+            running_ms: order.estimate_ms,
+            far_slowdown: self.settings.far_slowdown,
+        };
+        let is_asked = |name: &Name| pass.batches.contains_key(name);
+        self.peers
+            .choose_holder(now, &view, order, &task.priority, own, is_asked)
+    }
+
     /// Starts a task that is to run alone here, or asks a peer with an idle target to: it never
     /// waits at a holder, where others would be started beside it.
     fn place_alone(
         &mut self,
         now: Millis,
-        pass: &mut Pass,
+        pass: &mut BacklogPass,
         task: WaitingTask,
         order: TaskOrder,
         here: bool,
@@ -100,6 +110,7 @@
         }
     }
 
+    /// Starts a task of a caller of this host on its targets; returns whether it did.
     fn start_own(
         &mut self,
         now: Millis,
@@ -125,7 +136,7 @@
     fn own_view(
         &self,
         now: Millis,
-        pass: &Pass,
+        pass: &BacklogPass,
         task: &WaitingTask,
         order: &TaskOrder,
         may_fit: bool,
--- a/crates/dispatcher-core/src/dispatcher/load.rs
+++ b/crates/dispatcher-core/src/dispatcher/load.rs
@@ -15,6 +15,7 @@
 use crate::rules::backlog::ROOM_TOLD_MS;
 use crate::rules::hall_load::HallLoad;
 use crate::spec::Resources;
+use crate::targets::PoolRoom;
 use crate::Millis;
 
 use super::peer_calls::{body, Purpose};
@@ -24,36 +25,34 @@
 impl Dispatcher {
     /// Returns what this host's targets have to do, by pool.
     pub(super) fn pool_loads(&self, now: Millis) -> Vec<PoolLoad> {
-        let mut loads = Vec::new();
-        for room in self.targets.pool_rooms(now) {
-            let mut load = PoolLoad {
-                queue_cpu: room.soon_cpu,
-                pool: room.pool,
-                capacity_cpu: room.capacity_cpu,
-                used_cpu: room.used_cpu,
-                waiting: Vec::new(),
-            };
-            for task in self.jobs.waiting(now, MAX_SCHEDULED) {
-                if *self.jobs.pool(&task.job) == load.pool {
-                    add_waiting(
-                        &mut load,
-                        task.priority.urgency,
-                        &task.resources,
-                        task.estimate_ms,
-                    );
-                }
+        let rooms = self.targets.pool_rooms(now).into_iter();
+        rooms.map(|room| self.pool_load(now, room)).collect()
+    }
+
+    /// Returns what the targets of one pool have to do, with what waits for them.
+    fn pool_load(&self, now: Millis, room: PoolRoom) -> PoolLoad {
+        let mut load = PoolLoad {
+            queue_cpu: room.soon_cpu,
+            pool: room.pool,
+            capacity_cpu: room.capacity_cpu,
+            used_cpu: room.used_cpu,
+            waiting: Vec::new(),
+        };
+        for task in self.jobs.waiting(now, MAX_SCHEDULED) {
+            if *self.jobs.pool(&task.job) == load.pool {
+                let urgency = task.priority.urgency;
+                add_waiting(&mut load, urgency, &task.resources, task.estimate_ms);
             }
-            for handed in self.backlog.iter() {
-                let order = &handed.task.order;
-                if order.pool == load.pool {
-                    let urgency = handed.task.priority.urgency;
-                    add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
-                }
+        }
+        for handed in self.backlog.iter() {
+            let order = &handed.task.order;
+            if order.pool == load.pool {
+                let urgency = handed.task.priority.urgency;
+                add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
             }
-            load.waiting.sort_by_key(|work| work.urgency);
-            loads.push(load);
         }
-        loads
+        load.waiting.sort_by_key(|work| work.urgency);
+        load
     }
 
     /// Returns the load of each hall's targets, as far as this host knows it.
@@ -118,7 +117,7 @@
         first.map(|(name, open)| (name.clone(), open.demand.smallest))
     }
 
-    /// A peer has heard of room here: one with nothing that waits isn't told again.
+    /// Handles a peer's reply to news of room here: one with nothing that waits isn't told again.
     pub(super) fn room_replied(
         &mut self,
         now: Millis,
@@ -160,7 +159,7 @@
         }
     }
 
-    /// A peer has room: what waits here is looked at after this event.
+    /// Takes in that a peer has room: what waits here is looked at after this event.
     pub(super) fn room_received(
         &mut self,
         now: Millis,
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -155,25 +155,10 @@
         let mut names: Vec<Option<&Name>> = vec![None];
         let mut views = vec![own];
         for peer in open {
-            let places = peer.places(now, order, urgency);
-            if places.near == Place::None && places.far == Place::None {
-                continue;
+            if let Some(view) = self.holder_view(now, peer, order, urgency, &is_asked) {
+                names.push(Some(&peer.info.name));
+                views.push(view);
             }
-            names.push(Some(&peer.info.name));
-            let other_hall = peer.info.hall != self.own.hall;
-            views.push(HolderView {
-                other_hall,
-                way_ms: if other_hall {
-                    OTHER_HALL_WAY_MS
-                } else {
-                    HALL_WAY_MS
-                },
-                extra_request: !is_asked(&peer.info.name),
-                stale_clock: !peer.has_fresh_clock(now),
-                near: places.near,
-                far: places.far,
-                news_age_ms: places.age_ms,
-            });
         }
         let choice = choose(task, &views, may_wait_ms(priority))?;
         let Some(name) = names[choice.holder].cloned() else {
@@ -191,6 +176,35 @@
         }))
     }
 
+    /// Returns what a peer offers a task, if it may take it.
+    fn holder_view(
+        &self,
+        now: Millis,
+        peer: &Peer,
+        order: &TaskOrder,
+        urgency: u8,
+        is_asked: impl Fn(&Name) -> bool,
+    ) -> Option<HolderView> {
+        let places = peer.places(now, order, urgency);
+        if places.near == Place::None && places.far == Place::None {
+            return None;
+        }
+        let other_hall = peer.info.hall != self.own.hall;
+        Some(HolderView {
+            other_hall,
+            way_ms: if other_hall {
+                OTHER_HALL_WAY_MS
+            } else {
+                HALL_WAY_MS
+            },
+            extra_request: !is_asked(&peer.info.name),
+            stale_clock: !peer.has_fresh_clock(now),
+            near: places.near,
+            far: places.far,
+            news_age_ms: places.age_ms,
+        })
+    }
+
     /// Returns the peers to which a demand is advertised, others each time if there
     /// are many: not those of draining halls, unless there are no others.
     pub fn advertised_to(&mut self, now: Millis) -> Vec<Name> {
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -42,6 +42,7 @@
 use learned::LearnedTimes;
 use lease::Tokens;
 use list::StoreView;
+pub use room::PoolRoom;
 pub use starts::Reach;
 use target::Target;
 pub use usable::Runnable;
