Say which rules of the waiting order the dispatcher doesn't ask

Cause: the rule and its page said that jobs count as late by `may_begin`, and that the owner asks it; only tests call it.

Change: comments and the page say what is so. The functions stay: tests use them.

--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -33,7 +33,8 @@
 /// The most names that one level remembers: bounds memory.
 const MAX_NAMES: usize = 128;
 
-/// Weights of queues and of halls; 1 for those without one.
+/// Weights of queues and of halls; 1 for those without one. No setting gives any: at the
+/// dispatcher all are 1.
 #[derive(Clone, Debug, Default)]
 pub struct Weights {
     /// By queue.
--- a/crates/dispatcher-core/src/rules/waiting_order.rs
+++ b/crates/dispatcher-core/src/rules/waiting_order.rs
@@ -7,9 +7,9 @@
 //! start that keeps the class. Whether a task's owner is this host or a peer makes no
 //! difference.
 //!
-//! A job is a unit: what has begun goes first within its urgency, and a job counts as late as
-//! soon as the room until its latest start doesn't suffice for it and for what has begun
-//! ([`may_begin`]).
+//! A job is a unit: what has begun goes first within its urgency. By [`may_begin`] a job would
+//! count as late as soon as the room until its latest start doesn't suffice for it and for what
+//! has begun; the dispatcher doesn't ask it, only tests of the rules do.
 //!
 //! **Inputs.** Class and slack in ms as [`super::priority`] reckons them, the queue, its
 //! urgency, the hall of origin, shares; for beginnings, work in core-ms and room in
@@ -93,7 +93,8 @@
     }
 }
 
-/// Compares two waiting tasks; the lesser goes first. For many at a time there is [`Line`].
+/// Compares two waiting tasks; the lesser goes first. The dispatcher asks [`Line`], which looks
+/// at many at a time; tests hold the two against each other.
 #[must_use]
 pub fn compare(a: &Waiting<'_>, b: &Waiting<'_>, shares: &Shares) -> Ordering {
     let places = place(a, shares).partial_cmp(&place(b, shares));
