Count tasks that wait by urgency in one place

A holder's believed load didn't count the first task of an urgency that was handed over; the same sum stood in three places, of which one left it out. Found by reading.

--- a/crates/dispatcher-core/src/dispatcher/load.rs
+++ b/crates/dispatcher-core/src/dispatcher/load.rs
@@ -51,7 +51,6 @@
                 add_waiting(&mut load, urgency, &order.resources, order.estimate_ms);
             }
         }
-        load.waiting.sort_by_key(|work| work.urgency);
         load
     }
 
@@ -174,16 +173,9 @@
 /// Counts a task among those that wait.
 fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
     load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
-    let core_ms = needed.core_ms(estimate_ms);
-    match load.waiting.iter_mut().find(|work| work.urgency == urgency) {
-        Some(work) => {
-            work.tasks += 1;
-            work.core_ms += core_ms;
-        }
-        None => load.waiting.push(WaitingWork {
-            urgency,
-            tasks: 1,
-            core_ms,
-        }),
-    }
+    load.add_waiting(&WaitingWork {
+        urgency,
+        tasks: 1,
+        core_ms: needed.core_ms(estimate_ms),
+    });
 }
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -197,6 +197,25 @@
     pub waiting: Vec<WaitingWork>,
 }
 
+impl PoolLoad {
+    /// Adds work to what waits.
+    pub fn add_waiting(&mut self, work: &WaitingWork) {
+        add_waiting(&mut self.waiting, work);
+    }
+}
+
+/// Adds work to what waits, the most urgent first.
+pub fn add_waiting(waiting: &mut Vec<WaitingWork>, work: &WaitingWork) {
+    let position = waiting.partition_point(|sum| sum.urgency < work.urgency);
+    match waiting.get_mut(position) {
+        Some(sum) if sum.urgency == work.urgency => {
+            sum.tasks += work.tasks;
+            sum.core_ms += work.core_ms;
+        }
+        Some(_) | None => waiting.insert(position, *work),
+    }
+}
+
 /// What a host's targets have free, and have to do.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderLoad {
--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -5,7 +5,7 @@
 
 use gannetridge_wire::Name;
 
-use crate::message::{PoolLoad, TaskOrder};
+use crate::message::{PoolLoad, TaskOrder, WaitingWork};
 use crate::rules::hall_load::expected_wait_ms;
 use crate::rules::holder_choice::Place;
 use crate::rules::target_choice::suits;
@@ -155,11 +155,11 @@
             return;
         };
         pool.queue_cpu = pool.queue_cpu.saturating_sub(order.resources.cpu);
-        let core_ms = order.core_ms();
-        if let Some(work) = pool.waiting.iter_mut().find(|work| work.urgency == urgency) {
-            work.tasks += 1;
-            work.core_ms += core_ms;
-        }
+        pool.add_waiting(&WaitingWork {
+            urgency,
+            tasks: 1,
+            core_ms: order.core_ms(),
+        });
     }
 }
 
--- a/crates/dispatcher-core/src/rules/hall_load.rs
+++ b/crates/dispatcher-core/src/rules/hall_load.rs
@@ -10,7 +10,7 @@
 //! hall's load to be, by the age of their news. Free room counts that no single target may
 //! have in one piece.
 
-use crate::message::{PoolLoad, WaitingWork};
+use crate::message::{add_waiting, PoolLoad, WaitingWork};
 use crate::Millis;
 
 /// The load of the targets in one hall.
@@ -33,21 +33,7 @@
         self.used_cpu += u64::from(load.used_cpu);
         self.age_ms = self.age_ms.max(age_ms);
         for work in &load.waiting {
-            self.add_waiting(work);
-        }
-    }
-
-    /// Adds work to that of its urgency; keeps the order.
-    fn add_waiting(&mut self, work: &WaitingWork) {
-        let position = self
-            .waiting
-            .partition_point(|sum| sum.urgency < work.urgency);
-        match self.waiting.get_mut(position) {
-            Some(sum) if sum.urgency == work.urgency => {
-                sum.tasks += work.tasks;
-                sum.core_ms += work.core_ms;
-            }
-            Some(_) | None => self.waiting.insert(position, *work),
+            add_waiting(&mut self.waiting, work);
         }
     }
 }
--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// What arrived lately for one pool at one host.
+/// What arrived lately at one host, for all pools together.
 #[derive(Clone, Debug, Default)]
 pub struct LongTasks {
     arrived: BTreeMap<u8, Arrived>,
--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -140,7 +140,8 @@
     }
 }
 
-/// What queues and halls have used of the targets of one pool that a host holds.
+/// What queues and halls have used of the targets that a host holds; of all pools
+/// together, so that pools beside each other share one order.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     weights: Weights,
