Print what targets hear, reply and end in verbose runs

The four hypotheses on a task that runs twice (an order that comes late, a stop that doesn't come, a lease that is longer than its holder reckons, two holders) look alike in what hosts note. What targets took in, with the token and their own clock, and what hosts heard of it tells them apart.

--- a/crates/dispatcher-sim/src/world/network.rs
+++ b/crates/dispatcher-sim/src/world/network.rs
@@ -150,6 +150,11 @@
             return;
         }
         let now = self.now;
+        if self.scenario.verbose {
+            let clock = target.clock(now) as Millis;
+            let from = pending.host;
+            println!("{now:6} {id} at {clock} of its clock: host-{from} token {token} {order:?}");
+        }
         let reply = match order {
             TargetCall::Start(order) => {
                 let (reply, begun) = self.start(index, token, &order);
@@ -200,6 +205,9 @@
     pub(super) fn target_replies(&mut self, pending: Pending, lost: bool, reply: TargetReply) {
         if !lost {
             let at = self.now + self.trip();
+            if self.scenario.verbose {
+                println!("{at:6} host-{} hears {reply:?}", pending.host);
+            }
             self.at(at, Happening::TargetReply { pending, reply });
         }
     }
@@ -249,6 +257,12 @@
         let ends = self.targets[index].advance(self.now);
         let id = self.targets[index].entry.id.clone();
         for ended in ends {
+            if self.scenario.verbose {
+                println!(
+                    "{:6} {id} ends {:?} {:?}",
+                    self.now, ended.id, ended.outcome
+                );
+            }
             self.checks.ended(&id, &ended.id, ended.outcome);
         }
     }
