Leave a target's lease to end while a stop isn't confirmed

Cause: when an owner falls silent its holder stops the owner's attempts, and the owner counts on the target's lease to end them, should the stop not come. The holder went on extending that lease for the attempts beside them. A lost stop was sent again only after 700 ms, since silent peers are taken for a full link of the host's own, which lengthens the waits for replies.

Ruled out: late starts, a lease longer than reckoned, two holders, the target's restart.

Why it works: nothing extends the lease of such a target until the stop is confirmed, so it ends when the owner reckons. Starts go on while 200 ms of the lease are left. A listing asked for over 100 ms after the stop that shows the attempt has the stop sent again.

Failed before: no_lease_is_extended_past_a_stop_that_is_not_confirmed, "it runs until 3605, and again from 3180". Without the safeguard the same order is found by a_lease_that_is_extended_all_the_same_is_found.

--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -113,6 +113,8 @@
     pub begun_is_not_refused: bool,
     /// Attempts on a target that doesn't answer are over only after its lease.
     pub silent_attempts_are_waited_for: bool,
+    /// An attempt whose stop isn't confirmed ends with its target's lease, which isn't extended.
+    pub unconfirmed_stops_end_leases: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
     /// How many targets crashed under a task is counted.
@@ -134,6 +136,7 @@
             draining_ends: true,
             begun_is_not_refused: true,
             silent_attempts_are_waited_for: true,
+            unconfirmed_stops_end_leases: true,
             lives_are_told_apart: true,
             crashes_are_counted: true,
         }
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -57,7 +57,12 @@
     /// A stop is to be sent.
     ToSend,
     /// A stop is on its way.
-    Sent(CallId),
+    Sent {
+        /// The call that carries it.
+        call: CallId,
+        /// When it was sent.
+        at: Millis,
+    },
     /// The target has carried the stop out, at this time.
     Done(Millis),
 }
@@ -171,6 +176,12 @@
         wanted
     }
 
+    /// Returns whether nobody waits to hear of its end, and its target hasn't confirmed its stop:
+    /// its owner, or a caller that comes again, counts on its lease to end it.
+    pub(super) fn is_left_to_lease(&self) -> bool {
+        !self.report && matches!(self.stop, StopStage::ToSend | StopStage::Sent { .. })
+    }
+
     /// Returns whether a listing that was asked for at `asked` would show it if it
     /// ran: what came in the same millisecond may have come after.
     pub(super) fn would_be_listed(&self, asked: Millis) -> bool {
@@ -184,7 +195,9 @@
         match (self.stop, self.confirmed) {
             (StopStage::Done(_), _) => Ran::No,
             (StopStage::Wanted, Some(_)) => Ran::Surely,
-            (StopStage::Wanted, None) | (StopStage::ToSend | StopStage::Sent(_), _) => Ran::Perhaps,
+            (StopStage::Wanted, None) | (StopStage::ToSend | StopStage::Sent { .. }, _) => {
+                Ran::Perhaps
+            }
         }
     }
 
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -44,6 +44,7 @@
         }
         for listed in listing.running {
             self.confirm(now, &listed.id);
+            self.repeat_stop(&listed.id, listing.asked);
             self.observe_progress(listed, listing.clock);
         }
         let is_listed = |id: &AttemptId| listing.running.iter().any(|listed| listed.id == *id);
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -53,8 +53,11 @@
     }
 
     fn send_renewal(&mut self, now: Millis, id: &Name) {
+        let target = &self.targets[id];
+        // What is left to the lease would run on with what runs beside it.
+        let renews = renews_lease(target) && !self.is_left_to_lease(target);
         let target = self.targets.get_mut(id).expect("the target was found");
-        let until = if renews_lease(target) {
+        let until = if renews {
             target.extend_lease(now, &self.times)
         } else {
             None
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -76,8 +76,9 @@
     }
 
     fn start_on(&mut self, now: Millis, id: &Name, owner: &Owner, order: &TaskOrder) {
+        let extends = !self.is_left_to_lease(&self.targets[id]);
         let target = self.targets.get_mut(id).expect("the target was found");
-        let until = target.add(now, &self.times, owner, order);
+        let until = target.add(now, &self.times, owner, order, extends);
         self.tasks.insert(order.id.task.clone());
         self.actions.push(Action::Record(Decision::AttemptStarted {
             id: order.id.clone(),
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -152,7 +152,7 @@
             let order = TargetCall::Stop(id.clone());
             let call = self.call(&target_id, Purpose::Stop(id.clone()), order, REPLY_WAIT_MS);
             if let Some(target) = self.targets.get_mut(&target_id) {
-                target.stop_sent(&id, call);
+                target.stop_sent(now, &id, call);
             }
         }
     }
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -19,6 +19,7 @@
 use super::capacity::Capacity;
 use super::learned::LearnedSpeed;
 use super::lease::{Lease, LeaseStage};
+use super::REPLY_WAIT_MS;
 
 /// What a target's clock showed, and when on this host's clock.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +51,8 @@
     pub(super) learned: Option<LearnedSpeed>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     clock: Option<ClockReading>,
+    /// Until when this host last extended the lease, on the target's clock.
+    extended_until: Option<Millis>,
     /// When the life began that listed last, if it tells.
     pub(super) born: Option<Born>,
     reservation: Option<Reservation>,
@@ -77,6 +80,7 @@
             learned,
             attempts: BTreeMap::new(),
             clock: None,
+            extended_until: None,
             born: None,
             reservation: None,
             alone: None,
@@ -90,6 +94,7 @@
     pub(super) fn forget(&mut self) {
         self.reservation = None;
         self.clock = None;
+        self.extended_until = None;
         self.born = None;
         self.forget_listed_capacity();
         self.health.forget_silence();
@@ -100,6 +105,12 @@
         self.attempts.is_empty()
     }
 
+    /// Returns whether an attempt is being stopped that may be started elsewhere once the lease
+    /// is over, whether or not the stop comes.
+    pub(super) fn has_unconfirmed_stop(&self) -> bool {
+        self.attempts.values().any(Attempt::is_left_to_lease)
+    }
+
     /// Returns whether an attempt runs that nothing else may run beside.
     fn is_quarantined(&self) -> bool {
         let alone = self.alone.as_ref();
@@ -217,7 +228,8 @@
     }
 
     /// Adds an attempt whose start is sent now. Returns the start deadline on the
-    /// target's clock, which is also the end of the lease that the start renews.
+    /// target's clock, which is also the end of the lease; `extends` tells whether the
+    /// start renews it.
     ///
     /// # Panics
     ///
@@ -228,8 +240,13 @@
         times: &Times,
         owner: &Owner,
         order: &TaskOrder,
+        extends: bool,
     ) -> Millis {
-        let until = self.extend_lease(now, times);
+        let until = if extends {
+            self.extend_lease(now, times)
+        } else {
+            self.extended_until
+        };
         let until = until.expect("the clock of a target that takes tasks is known");
         let latest_begin = now + times.target_lease_true;
         let mut attempt = Attempt::new(now, latest_begin, owner, order);
@@ -248,11 +265,24 @@
     /// Returns the end of a lease that is renewed now, on the target's clock, as
     /// early as that clock may show; none if the clock isn't known.
     pub(super) fn extend_lease(&mut self, now: Millis, times: &Times) -> Option<Millis> {
+        let until = self.earliest_clock(now)? + times.target_lease;
+        self.lease.extend(now + times.target_attempts_over);
+        self.extended_until = self.extended_until.max(Some(until));
+        Some(until)
+    }
+
+    /// Returns how long the lease lasts at least if nothing extends it, in ms of the target's
+    /// clock.
+    pub(super) fn lease_left(&self, now: Millis) -> Millis {
+        let left = self.extended_until.zip(self.earliest_clock(now));
+        left.map_or(0, |(until, clock)| until.saturating_sub(clock))
+    }
+
+    /// Returns the least that its clock may show, if it is known.
+    fn earliest_clock(&self, now: Millis) -> Option<Millis> {
         let reading = self.clock?;
         let since = now.saturating_sub(reading.received);
-        let earliest = reading.clock + least_on_target_clock(since);
-        self.lease.extend(now + times.target_attempts_over);
-        Some(earliest + times.target_lease)
+        Some(reading.clock + least_on_target_clock(since))
     }
 
     /// Returns whether it surely is the life that was heard last: since then no call went
@@ -334,9 +364,21 @@
     }
 
     /// Records that a stop was sent.
-    pub(super) fn stop_sent(&mut self, id: &AttemptId, call: CallId) {
+    pub(super) fn stop_sent(&mut self, now: Millis, id: &AttemptId, call: CallId) {
         if let Some(attempt) = self.attempts.get_mut(id) {
-            attempt.stop = StopStage::Sent(call);
+            attempt.stop = StopStage::Sent { call, at: now };
+        }
+    }
+
+    /// Has a stop sent again that can't have come: a listing that was asked for long after it,
+    /// at `asked`, shows the attempt as running.
+    pub(super) fn repeat_stop(&mut self, id: &AttemptId, asked: Millis) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            let lost =
+                matches!(attempt.stop, StopStage::Sent { at, .. } if at + REPLY_WAIT_MS < asked);
+            if lost {
+                attempt.stop = StopStage::ToSend;
+            }
         }
     }
 
@@ -345,7 +387,7 @@
         let Some(attempt) = self.attempts.get_mut(id) else {
             return;
         };
-        if attempt.stop == StopStage::Sent(call) {
+        if matches!(attempt.stop, StopStage::Sent { call: sent, .. } if sent == call) {
             attempt.stop = if done {
                 StopStage::Done(now)
             } else {
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -22,6 +22,9 @@
 /// How long a host that should leave a target to another waits for it to be empty before it starts
 /// nothing more there, in ms.
 const RELEASE_PATIENCE_MS: Millis = 1_000;
+/// How long the lease of a target has to last where it isn't extended before a stop is confirmed,
+/// in ms: the confirmation and a renewal have to come within it.
+const LEAST_LEASE_LEFT_MS: Millis = 200;
 /// The most targets with free resources that a reply tells of: a peer hands over what finds
 /// no target in its own hall, and hears again with its next request. Each takes some 20 bytes
 /// of every reply.
@@ -128,12 +131,20 @@
     }
 
     /// Returns whether tasks may be started on a target: it is listed, its entry can be used, it
-    /// stays, as does its hall, it answers and is well, and it isn't to be left to another host.
+    /// stays, as does its hall, it answers and is well, its lease lasts, and it isn't to be left to
+    /// another host.
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
         let listed = target.unlisted_since.is_none() || !self.store.list_is_settled(now);
         let leaving = target.entry.leaving && self.safeguards.leaving_is_heeded;
         let stays = !leaving && !target.entry_unusable && !self.is_draining(&target.entry.hall);
-        listed && stays && target.takes_task(now) && !self.is_being_released(now, target)
+        let lasts = !self.is_left_to_lease(target) || target.lease_left(now) >= LEAST_LEASE_LEFT_MS;
+        let open = lasts && !self.is_being_released(now, target);
+        listed && stays && open && target.takes_task(now)
+    }
+
+    /// Returns whether a target's lease is to run out unless stops are confirmed before.
+    pub(super) fn is_left_to_lease(&self, target: &Target) -> bool {
+        self.safeguards.unconfirmed_stops_end_leases && target.has_unconfirmed_stop()
     }
 
     fn is_being_released(&self, now: Millis, target: &Target) -> bool {
--- a/crates/dispatcher-core/tests/target_leases.rs
+++ b/crates/dispatcher-core/tests/target_leases.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use gannetridge_dispatcher_core::event::{ListedAttempt, ListedOutcome, SendFailure, TargetChange};
-use gannetridge_dispatcher_core::message::AttemptId;
-use gannetridge_dispatcher_core::{Event, Millis, TargetCall, TargetReply};
-use support::{case, ended, step, target, Rig};
+use gannetridge_dispatcher_core::message::{AttemptId, Request};
+use gannetridge_dispatcher_core::{Event, Millis, Safeguards, Settings, TargetCall, TargetReply};
+use support::{case, ended, order, peer_info, settings, step, target, Rig, BOUNDS};
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -343,3 +343,84 @@
     rig.pass(10);
     assert!(rig.stops().is_empty());
 });
+
+/// Starts an attempt for the peer; returns it.
+fn started_for_peer(rig: &mut Rig, task: &str) -> AttemptId {
+    rig.peer_asks(90, Request::Place(vec![order(task, 900)]));
+    let (call, _, id) = rig.starts().remove(0);
+    let clock = rig.now + 500_000;
+    rig.target_reply(call, TargetReply::Accepted { clock });
+    id
+}
+
+/// Lets time pass in which the target answers its renewals; returns the latest time, on the
+/// host's clock, until which any call extended the target's lease.
+fn renewed_until(rig: &mut Rig, ms: Millis, running: &[AttemptId]) -> Option<Millis> {
+    let mut latest = None;
+    let end = rig.now + ms;
+    while rig.now < end {
+        rig.pass(10);
+        for (call, until) in rig.renewals() {
+            latest = latest.max(until.map(|clock| clock - 500_000));
+            rig.listing(call, running, &[]);
+        }
+    }
+    latest
+}
+
+/// An owner falls silent whose attempt runs beside one of the holder, and the stops of it are
+/// lost. Returns the holder, how long the target's lease was extended, and the time from which the
+/// owner starts the task elsewhere.
+fn owner_silent_and_stops_lost(safeguards: Safeguards) -> (Rig, Millis, Millis) {
+    let settings = Settings {
+        safeguards,
+        ..settings()
+    };
+    let mut rig = Rig::holding_targets_with(settings, &[target("near", 24)]);
+    rig.event(Event::HostsRead(vec![peer_info()]));
+    let own = started(&mut rig, ID);
+    let theirs = started_for_peer(&mut rig, "00000000000000aa.0.0.0");
+    let over = rig.now + BOUNDS.times().unwrap().lost_attempts_over;
+    let extended = renewed_until(&mut rig, 1_000, &[own, theirs]);
+    let ends = extended.expect("a renewal before the owner fell silent") + BOUNDS.stop_grace_ms;
+    (rig, ends, over)
+}
+
+// Guards against a second run of a task whose owner fell silent: the attempts beside it went on
+// extending the lease under which it ran, while its stop was lost.
+case!(no_lease_is_extended_past_a_stop_that_is_not_confirmed, {
+    let (mut rig, ends, over) = owner_silent_and_stops_lost(Safeguards::default());
+    assert!(ends <= over, "it runs until {ends}, and again from {over}");
+    assert!(rig.stops().len() > 1, "the stop is repeated");
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 300)], 3_000);
+    assert!(rig.starts().is_empty(), "the lease is about to end");
+});
+
+case!(a_lease_that_is_extended_all_the_same_is_found, {
+    let (_, ends, over) = owner_silent_and_stops_lost(Safeguards {
+        unconfirmed_stops_end_leases: false,
+        ..Safeguards::default()
+    });
+    assert!(ends > over, "it runs until {ends}, and again from {over}");
+});
+
+case!(a_lease_is_extended_again_once_the_stop_is_confirmed, {
+    let mut rig = Rig::holding_targets(&[target("near", 24)]);
+    rig.event(Event::HostsRead(vec![peer_info()]));
+    let own = started(&mut rig, ID);
+    let theirs = started_for_peer(&mut rig, "00000000000000aa.0.0.0");
+    let running = [own.clone(), theirs.clone()];
+    let times = BOUNDS.times().unwrap();
+    renewed_until(&mut rig, times.owner_lease + 20, &running);
+    let stop = rig
+        .calls
+        .iter()
+        .position(|called| called.order == TargetCall::Stop(theirs.clone()));
+    let stop = rig.calls.remove(stop.expect("a stop")).call;
+    assert_eq!(renewed_until(&mut rig, 50, &running), None);
+    let clock = rig.now + 500_000;
+    rig.target_reply(stop, TargetReply::Accepted { clock });
+    assert!(renewed_until(&mut rig, 50, &[own]).is_some());
+    rig.submit(2, "00000000000000bb", vec![step(1, 7_000, 300)], 3_000);
+    assert_eq!(rig.starts().len(), 1);
+});
