Keep the programs' logs of a cluster test that fails

A test in which 7 of 12 jobs had 503 for 20 s failed once and left no logs. The programs' logs now go to files beside their settings; a test that panics leaves the folder and prints its path.

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and entry hosts as processes of their own.
 
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -73,10 +74,16 @@
     path.join(name)
 }
 
+/// Starts a program, whose log goes to a file beside its settings.
 fn spawn(name: &str, settings: &Path) -> Child {
+    let log = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))
+        .expect("a writable folder");
     let mut command = Command::new(binary(name));
     command.arg("--settings").arg(settings);
-    command.stderr(Stdio::null()).stdout(Stdio::null());
+    command.stderr(log).stdout(Stdio::null());
     start(&mut command).unwrap_or_else(|e| panic!("{name}: {e}; run scripts/test.sh"))
 }
 
@@ -254,6 +261,9 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if std::thread::panicking() {
+            return eprintln!("the programs' logs are kept in {}", self.dir.display());
+        }
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
