Reckon with the lease that another host was granted at a new target

Cause: a deadline holds for all that runs at a target, whoever sent it. An order with a time of the old clock came to a new life of the target, which granted the longest lease. The host that acquired the target next reckoned only with what it sent itself, 626 ms, took its attempt on the silent target for over and had it tried elsewhere while it ran.

Ruled out: a late start, a slow clock, an extension of its own.

Why it works: once the target knows a host's token, no earlier order does anything there, so what was granted before ends within the longest lease from then; attempts on the target are taken for over no sooner.

--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -115,6 +115,8 @@
     pub silent_attempts_are_waited_for: bool,
     /// An attempt whose stop isn't confirmed ends with its target's lease, which isn't extended.
     pub unconfirmed_stops_end_leases: bool,
+    /// A new holder reckons with the longest lease that another host may have been granted.
+    pub earlier_leases_are_reckoned: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
     /// How many targets crashed under a task is counted.
@@ -137,6 +139,7 @@
             begun_is_not_refused: true,
             silent_attempts_are_waited_for: true,
             unconfirmed_stops_end_leases: true,
+            earlier_leases_are_reckoned: true,
             lives_are_told_apart: true,
             crashes_are_counted: true,
         }
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -132,6 +132,11 @@
         let idle = target.is_idle() && !target.awaits_end();
         target.lease.next_renewal = now + if idle { IDLE_RENEWAL_MS } else { 0 };
         let acquired = target.lease.is_held() && !was_held;
+        if acquired && self.safeguards.earlier_leases_are_reckoned {
+            // Before it knew this host's token, a new life of the target may have taken a time of
+            // its old clock from another host, and granted the longest lease on all that runs there.
+            target.lease.extend(now + self.times.longest_attempts_over);
+        }
         if was_silent {
             self.record_target(id, TargetBelief::Answers, BeliefSource::Renewal);
         }
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -308,6 +308,20 @@
         renewals
     }
 
+    /// Answers all renewals in the name of idle targets: they run nothing.
+    pub fn idle_targets_answer(&mut self) {
+        for (call, _) in self.renewals() {
+            self.listing(call, &[], &[]);
+        }
+    }
+
+    /// Lets time pass until no lease matters that another host may have been granted before this
+    /// one acquired its targets, on which nothing runs.
+    pub fn pass_earlier_leases(&mut self) {
+        self.pass(500);
+        self.idle_targets_answer();
+    }
+
     /// Takes the requests to peers that a test looks for.
     pub fn requests(&mut self, wanted: impl Fn(&Request) -> bool) -> Vec<(CallId, Envelope)> {
         let (found, rest) = std::mem::take(&mut self.requests)
