Acquire a target with a token of the call's own time

Cause: a host that repeats its call to acquire a target, after it was cut off or stood still, carried the token of its first call. Another host had taken the target since. When the target started again it had seen no token: it took the old one, and then the later one of the holder that didn't know of the new life yet, so that both had tasks started beside each other.

Ruled out: a reply from before the pause, a life taken for the one before.

Why it works: tokens order hosts by when their calls were sent, so the one that a new life hears first has the later token, and the former holder's starts are rejected.

Failed before: a_host_that_acquires_a_target_anew_has_a_later_token_than_its_holder; without the safeguard the same order is found by a_target_that_is_acquired_with_an_old_token_is_found.

--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -117,6 +117,8 @@
     pub unconfirmed_stops_end_leases: bool,
     /// A new holder reckons with the longest lease that another host may have been granted.
     pub earlier_leases_are_reckoned: bool,
+    /// Each call that acquires a target carries a token of its own time.
+    pub acquiring_tokens_are_fresh: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
     /// How many targets crashed under a task is counted.
@@ -140,6 +142,7 @@
             silent_attempts_are_waited_for: true,
             unconfirmed_stops_end_leases: true,
             earlier_leases_are_reckoned: true,
+            acquiring_tokens_are_fresh: true,
             lives_are_told_apart: true,
             crashes_are_counted: true,
         }
--- a/crates/dispatcher-core/src/targets/lease.rs
+++ b/crates/dispatcher-core/src/targets/lease.rs
@@ -125,6 +125,11 @@
         self.begin(now, token);
     }
 
+    /// Carries a later token from here on, while the target may not know the present one.
+    pub(super) fn refresh_token(&mut self, token: u64) {
+        self.token = token;
+    }
+
     /// Tries again with a higher token.
     pub(super) fn raise_token(&mut self, now: Millis, token: u64) {
         self.incumbent_since = None;
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -53,6 +53,7 @@
     }
 
     fn send_renewal(&mut self, now: Millis, id: &Name) {
+        self.refresh_token(now, id);
         let target = &self.targets[id];
         // What is left to the lease would run on with what runs beside it.
         let renews = renews_lease(target) && !self.is_left_to_lease(target);
@@ -73,6 +74,20 @@
         let target = self.targets.get_mut(id).expect("the target was found");
         target.lease.renewal = Some(call);
     }
+
+    /// Has a call that acquires a target carry a token of its own time. The target may have started
+    /// again since the last one was sent: its new life would take one that is older than another
+    /// holder's, and then that holder's too.
+    fn refresh_token(&mut self, now: Millis, id: &Name) {
+        let lease = &self.targets[id].lease;
+        if lease.stage != LeaseStage::Acquiring || !self.safeguards.acquiring_tokens_are_fresh {
+            return;
+        }
+        let token = self.tokens.next(now);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.lease.refresh_token(token);
+        }
+    }
 }
 
 /// Returns whether a renewal is to extend the lease on what runs at a target, or only
--- a/crates/dispatcher-sim/tests/two_holders.rs
+++ b/crates/dispatcher-sim/tests/two_holders.rs
@@ -273,6 +273,16 @@
         }
     }
 
+    /// Lets time pass until a host has just asked the target anew; returns when.
+    fn pass_until_asked(&mut self, host: usize) -> Millis {
+        self.pass(STEP_MS);
+        while !self.has_just_asked(host) {
+            self.pass(STEP_MS);
+            assert!(self.now < 10_000, "it asks again");
+        }
+        self.now
+    }
+
     /// Lets time pass until a task runs; returns its attempt.
     fn pass_until_runs(&mut self, task: &str) -> AttemptId {
         loop {
@@ -285,6 +295,12 @@
         }
     }
 
+    fn has_just_asked(&self, host: usize) -> bool {
+        let sent = |pending: &Pending| pending.given_up - REPLY_WAIT_MS;
+        let mut pending = self.pending.iter();
+        pending.any(|pending| pending.host == host && sent(pending) == self.now)
+    }
+
     /// The target crashes, and starts again at once under its id.
     fn restart(&mut self) {
         let born = Born(EPOCH_MS + self.now);
@@ -295,6 +311,47 @@
 /// How long a reply is waited for beyond a renewal's own wait, in ms.
 const REPLY_WAIT_MS: Millis = 100;
 
+/// The second host tries to acquire a target from which it is cut off. The first holds it, and
+/// runs a task there. The target starts again, and before the first hears of the new life the
+/// second comes through. Returns the most that it ran.
+fn acquired_by_an_old_call(safeguards: Safeguards) -> u32 {
+    let mut two = TwoHolders::new(safeguards);
+    two.reaches[SECOND] = false;
+    two.learns_of_target(SECOND);
+    two.pass(1_500);
+    two.learns_of_target(FIRST);
+    two.pass(200);
+    let asked = two.pass_until_asked(SECOND);
+    let asks_again = 2 * two.pass_until_asked(SECOND) - asked;
+    two.submit(FIRST, 1);
+    two.pass(asks_again - two.now - 2 * STEP_MS);
+    two.restart();
+    two.reaches[SECOND] = true;
+    two.submit(SECOND, 2);
+    two.pass(3 * STEP_MS);
+    assert_eq!(two.target.attempts.len(), 2, "the second host's tasks run");
+    two.submit(FIRST, 1);
+    two.pass(1_000);
+    two.most_cpu
+}
+
+// Guards against more starts on a target than it has room for: the token by which a host acquired
+// its new life was older than that of the holder, whose starts it took as well.
+#[test]
+fn a_host_that_acquires_a_target_anew_has_a_later_token_than_its_holder() {
+    let most_cpu = acquired_by_an_old_call(Safeguards::default());
+    assert_eq!(most_cpu, 2 * TASK_CPU, "two tasks fit, and two are run");
+}
+
+#[test]
+fn a_target_that_is_acquired_with_an_old_token_is_found() {
+    let most_cpu = acquired_by_an_old_call(Safeguards {
+        acquiring_tokens_are_fresh: false,
+        ..Safeguards::default()
+    });
+    assert!(most_cpu > TARGET_CPU, "{most_cpu}");
+}
+
 /// A target starts again under its holder, whose next start comes to the new life with a time of
 /// the old clock. Another host acquires it, starts a task there, and is cut off from it. Returns
 /// whether the task still runs when that host takes it for over.
