Ask an idle target before a start goes out to it

Cause: an idle target is asked each 3 s. A host that lost it meanwhile, or whose target started again, sent starts on the word of a reply that old. The new life had seen no fencing token and took the starts of two hosts that both believed to hold it, with times of the old clock.

Ruled out: a holder that settles too early, a late start, a stale token that was accepted.

Why it works: a target that wasn't heard of within a long poll is asked first, with the token. A new life then knows the token before any start comes, and the host the new life; another holder shows itself by a stale token. What waited for the reply goes elsewhere as not begun.

Failed before: an_idle_target_that_started_again_is_not_started_on_by_two_hosts; without the safeguard the same order is found by starts_on_an_idle_target_that_is_not_asked_first_are_found.

--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -119,6 +119,8 @@
     pub earlier_leases_are_reckoned: bool,
     /// Each call that acquires a target carries a token of its own time.
     pub acquiring_tokens_are_fresh: bool,
+    /// An idle target that wasn't heard of lately is asked before a start is sent to it.
+    pub idle_targets_are_asked: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
     /// How many targets crashed under a task is counted.
@@ -143,6 +145,7 @@
             unconfirmed_stops_end_leases: true,
             earlier_leases_are_reckoned: true,
             acquiring_tokens_are_fresh: true,
+            idle_targets_are_asked: true,
             lives_are_told_apart: true,
             crashes_are_counted: true,
         }
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -72,6 +72,8 @@
 pub(super) struct Attempt {
     pub(super) owner: Owner,
     pub(super) resources: Resources,
+    /// What its start will carry, while that waits for its target to be heard.
+    pub(super) unsent: Option<Name>,
     /// When its start was sent.
     pub(super) started: Millis,
     pub(super) estimate_ms: Millis,
@@ -99,9 +101,10 @@
 }
 
 impl Attempt {
-    /// Creates an attempt whose start is being sent.
+    /// Creates an attempt whose start is to be sent.
     pub(super) fn new(now: Millis, latest_begin: Millis, owner: &Owner, order: &TaskOrder) -> Self {
         Self {
+            unsent: Some(order.specification.clone()),
             kind: TaskKind::of(order),
             is_far: false,
             forecast: None,
@@ -129,6 +132,14 @@
         }
     }
 
+    /// Records that its start is sent now; returns what that carries, unless it was sent before.
+    pub(super) fn send(&mut self, now: Millis, latest_begin: Millis) -> Option<Name> {
+        let specification = self.unsent.take()?;
+        self.started = now;
+        self.latest_begin = latest_begin;
+        Some(specification)
+    }
+
     /// Records that the target has it.
     pub(super) fn confirm(&mut self, now: Millis) {
         self.confirmed.get_or_insert(now);
@@ -192,6 +203,9 @@
 
     /// Returns whether it ran, if its target is lost now.
     pub(super) fn ran(&self) -> Ran {
+        if self.unsent.is_some() {
+            return Ran::No;
+        }
         match (self.stop, self.confirmed) {
             (StopStage::Done(_), _) => Ran::No,
             (StopStage::Wanted, Some(_)) => Ran::Surely,
--- a/crates/dispatcher-core/src/targets/claims.rs
+++ b/crates/dispatcher-core/src/targets/claims.rs
@@ -167,6 +167,7 @@
         let Some(claim) = target.lease.claim().filter(|_| sent == target.lease.token) else {
             return;
         };
+        self.end_unsent(now, id);
         let misassigned = self.assignment.is_misassigned(id);
         match contention::respond(now, claim, misassigned) {
             Response::TakeBack { forget_losses } => {
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -50,6 +50,7 @@
         }
         let token = self.tokens.next(now);
         let asked = listing_asked_at(sent);
+        self.reports.extend(target.end_unsent(now));
         let reports = target.begin_life(now, token, self.times.longest_attempts_over, asked, reply);
         self.reports.extend(reports);
         let by = BeliefSource::WrongIncarnation;
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -21,6 +21,7 @@
 mod starts;
 mod stops;
 mod target;
+mod unsent;
 mod usable;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -102,7 +102,8 @@
 /// would take a time of the old clock for the longest lease that it grants, on all that it runs
 /// from then on. Guards against a holder that takes such attempts for over while they run.
 fn renews_lease(target: &Target) -> bool {
-    target.lease.is_held() && !target.is_idle() && target.knows_life()
+    let runs_any = !target.is_idle() && !target.has_unsent();
+    target.lease.is_held() && runs_any && target.knows_life()
 }
 
 /// Returns up to which number ends are acknowledged. After a call without reply the target may
@@ -121,7 +122,7 @@
     let silent = target.health.silent_since().is_some();
     let acquiring = target.lease.stage == LeaseStage::Acquiring;
     let idle = target.lease.is_held() && target.is_idle();
-    if silent || acquiring || idle {
+    if silent || acquiring || idle || target.has_unsent() {
         0
     } else if target.awaits_end() {
         AWAITED_END_WAIT_MS
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -145,10 +145,12 @@
         }
         self.learn_from(now, id, &reports);
         self.reports.extend(reports);
+        self.target_heard(now, id);
     }
 
     /// Records that a call had no reply.
     fn missed(&mut self, now: Millis, id: &Name, by: BeliefSource) {
+        self.end_unsent(now, id);
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -4,7 +4,7 @@
 
 use crate::action::{Action, StartOrder, TargetCall};
 use crate::decision::Decision;
-use crate::message::{Demand, FreeResources, TaskOrder};
+use crate::message::{AttemptId, Demand, FreeResources, TaskOrder};
 use crate::rules::target_choice;
 use crate::Millis;
 
@@ -76,9 +76,9 @@
     }
 
     fn start_on(&mut self, now: Millis, id: &Name, owner: &Owner, order: &TaskOrder) {
-        let extends = !self.is_left_to_lease(&self.targets[id]);
+        let is_asked_first = self.is_asked_first(now, &self.targets[id]);
         let target = self.targets.get_mut(id).expect("the target was found");
-        let until = target.add(now, &self.times, owner, order, extends);
+        target.add(now, &self.times, owner, order);
         self.tasks.insert(order.id.task.clone());
         self.actions.push(Action::Record(Decision::AttemptStarted {
             id: order.id.clone(),
@@ -86,13 +86,31 @@
             owner: owner.host.clone(),
             left_cpu: target.free().cpu,
         }));
+        if !is_asked_first {
+            self.send_start(now, id, &order.id);
+        }
+    }
+
+    /// Sends the start of an attempt, unless it was sent before.
+    pub(super) fn send_start(&mut self, now: Millis, target_id: &Name, id: &AttemptId) {
+        let extends = !self.is_left_to_lease(&self.targets[target_id]);
+        let target = self
+            .targets
+            .get_mut(target_id)
+            .expect("the target was found");
+        let latest_begin = now + self.times.target_lease_true;
+        let attempt = target.attempts.get_mut(id);
+        let specification = attempt.and_then(|attempt| attempt.send(now, latest_begin));
+        let Some(specification) = specification else {
+            return;
+        };
         let start = TargetCall::Start(StartOrder {
-            id: order.id.clone(),
-            specification: order.specification.clone(),
-            until,
+            id: id.clone(),
+            specification,
+            until: target.start_deadline(now, &self.times, extends),
         });
         let wait_ms = self.start_replies.wait_ms();
-        self.call(id, Purpose::Start(order.id.clone()), start, wait_ms);
+        self.call(target_id, Purpose::Start(id.clone()), start, wait_ms);
     }
 
     /// Reserves free resources for a peer with a demand; returns what is reserved.
--- a/crates/dispatcher-core/src/targets/stops.rs
+++ b/crates/dispatcher-core/src/targets/stops.rs
@@ -149,6 +149,9 @@
             stops.extend(ids.map(|id| (target_id.clone(), id)));
         }
         for (target_id, id) in stops {
+            if self.end_if_unsent(now, &target_id, &id) {
+                continue;
+            }
             let order = TargetCall::Stop(id.clone());
             let call = self.call(&target_id, Purpose::Stop(id.clone()), order, REPLY_WAIT_MS);
             if let Some(target) = self.targets.get_mut(&target_id) {
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -227,32 +227,28 @@
         kept.is_some_and(|kept| kept.peer != *host && kept.until > now)
     }
 
-    /// Adds an attempt whose start is sent now. Returns the start deadline on the
-    /// target's clock, which is also the end of the lease; `extends` tells whether the
-    /// start renews it.
+    /// Adds an attempt whose start is to be sent.
+    pub(super) fn add(&mut self, now: Millis, times: &Times, owner: &Owner, order: &TaskOrder) {
+        let latest_begin = now + times.target_lease_true;
+        let mut attempt = Attempt::new(now, latest_begin, owner, order);
+        attempt.is_far = target_choice::is_far(&self.entry, order);
+        self.attempts.insert(order.id.clone(), attempt);
+        self.lease.extend(now + times.target_attempts_over);
+    }
+
+    /// Returns the start deadline of attempts whose starts are sent now, on the target's clock. It
+    /// is also the end of the lease; `extends` tells whether they renew that.
     ///
     /// # Panics
     ///
     /// Panics if the target's clock isn't known; see [`Target::takes_task`].
-    pub(super) fn add(
-        &mut self,
-        now: Millis,
-        times: &Times,
-        owner: &Owner,
-        order: &TaskOrder,
-        extends: bool,
-    ) -> Millis {
+    pub(super) fn start_deadline(&mut self, now: Millis, times: &Times, extends: bool) -> Millis {
         let until = if extends {
             self.extend_lease(now, times)
         } else {
             self.extended_until
         };
-        let until = until.expect("the clock of a target that takes tasks is known");
-        let latest_begin = now + times.target_lease_true;
-        let mut attempt = Attempt::new(now, latest_begin, owner, order);
-        attempt.is_far = target_choice::is_far(&self.entry, order);
-        self.attempts.insert(order.id.clone(), attempt);
-        until
+        until.expect("the clock of a target that takes tasks is known")
     }
 
     /// Records the urgency of an attempt's queue.
@@ -298,6 +294,25 @@
         self.clock = None;
     }
 
+    /// Returns whether it was heard at a time or later.
+    pub(super) fn was_heard_since(&self, time: Millis) -> bool {
+        self.clock.is_some_and(|reading| reading.received >= time)
+    }
+
+    /// Returns whether starts wait for it to be heard.
+    pub(super) fn has_unsent(&self) -> bool {
+        self.attempts
+            .values()
+            .any(|attempt| attempt.unsent.is_some())
+    }
+
+    /// Returns the attempts whose starts wait for it to be heard.
+    pub(super) fn unsent(&self) -> Vec<AttemptId> {
+        let attempts = self.attempts.iter();
+        let unsent = attempts.filter(|(_, attempt)| attempt.unsent.is_some());
+        unsent.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns its clock as last heard.
     pub(super) fn clock_heard(&self) -> Option<Millis> {
         self.clock.map(|reading| reading.clock)
--- a/crates/dispatcher-core/tests/draining.rs
+++ b/crates/dispatcher-core/tests/draining.rs
@@ -65,6 +65,7 @@
             draining: false,
         }],
     });
+    rig.idle_targets_answer();
     assert_eq!(rig.starts().len(), 1);
 });
 
@@ -73,6 +74,7 @@
     {
         let mut rig = north_and_south();
         rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+        rig.idle_targets_answer();
         let (call, _, key) = rig.starts().remove(0);
         let clock = rig.now + 500_000;
         rig.target_reply(call, TargetReply::Accepted { clock });
@@ -144,6 +146,7 @@
 case!(a_begun_job_ends_as_soon_as_it_can_go_on_nowhere, {
     let mut rig = north_and_south();
     rig.submit(1, ID, vec![step(1, 7_000, 60)], 3_000);
+    rig.idle_targets_answer();
     let (call, _, key) = rig.starts().remove(0);
     let clock = rig.now + 500_000;
     rig.target_reply(call, TargetReply::Accepted { clock });
--- a/crates/dispatcher-core/tests/failure_source.rs
+++ b/crates/dispatcher-core/tests/failure_source.rs
@@ -61,6 +61,7 @@
             vec![step(1, 7_000, 60)],
             9_000,
         );
+        rig.idle_targets_answer();
         rig.pass(10);
         fail_all(&mut rig, &mut ended_so_far);
     }
@@ -72,6 +73,7 @@
             9_000,
         );
     });
+    rig.idle_targets_answer();
     let others = rig.starts();
     others.iter().filter(|(_, _, id)| is_other(id)).count()
 }
--- a/crates/dispatcher-sim/tests/two_holders.rs
+++ b/crates/dispatcher-sim/tests/two_holders.rs
@@ -311,6 +311,41 @@
 /// How long a reply is waited for beyond a renewal's own wait, in ms.
 const REPLY_WAIT_MS: Millis = 100;
 
+/// Both hosts believe to hold an idle target: the second has taken it, which the first doesn't
+/// know yet. It starts again, and both have work for it. Returns the most that it ran.
+fn idle_target_of_two(safeguards: Safeguards) -> u32 {
+    let mut two = TwoHolders::new(safeguards);
+    two.learns_of_target(FIRST);
+    two.pass(1_500);
+    two.learns_of_target(SECOND);
+    two.pass(300);
+    two.restart();
+    two.pass(300);
+    // Both send before either hears.
+    two.submit(FIRST, 2);
+    two.submit(SECOND, 2);
+    two.deliver();
+    two.pass(2_000);
+    two.most_cpu
+}
+
+// Guards against more starts on a target than it has room for: it was idle, started again, and
+// knew no fencing token of the two hosts that believed to hold it.
+#[test]
+fn an_idle_target_that_started_again_is_not_started_on_by_two_hosts() {
+    let most_cpu = idle_target_of_two(Safeguards::default());
+    assert_eq!(most_cpu, 2 * TASK_CPU, "two tasks fit, and two are run");
+}
+
+#[test]
+fn starts_on_an_idle_target_that_is_not_asked_first_are_found() {
+    let most_cpu = idle_target_of_two(Safeguards {
+        idle_targets_are_asked: false,
+        ..Safeguards::default()
+    });
+    assert!(most_cpu > TARGET_CPU, "{most_cpu}");
+}
+
 /// The second host tries to acquire a target from which it is cut off. The first holds it, and
 /// runs a task there. The target starts again, and before the first hears of the new life the
 /// second comes through. Returns the most that it ran.
