Don't count an attempt as crashed that may have been done before

Cause: the task was done just before its target crashed, and that end was never heard. An attempt that its target had confirmed counted as running when the target was lost, however long ago it was last heard of.

Ruled out: a crash counted twice, one told by another host, an end that was heard and dropped.

Why it works: a confirmed attempt surely ran only if the target was known to be gone before it can have been done; else it is in doubt, which never fails a job alone.

--- a/crates/dispatcher-core/src/rules/crashes.rs
+++ b/crates/dispatcher-core/src/rules/crashes.rs
@@ -5,6 +5,10 @@
 //! it hadn't said before that it leaves. One that only stays silent until its lease is over
 //! isn't taken for crashed: nothing tells it from one whose link is cut, or that stands still.
 //!
+//! *Who surely ran.* The end of an attempt just before the crash may never be heard. So one that was
+//! confirmed surely ran only if the target was known to be gone before it can have been done: in
+//! less than `QUICKEST_SHARE` of the time that its progress so far, or its estimate, leaves.
+//!
 //! *Who is suspect.* All tasks that a crashed target had. One that was alone there is blamed
 //! more than one that ran beside others.
 //!
@@ -22,7 +26,8 @@
 //! runs on and on, and that a task that was only beside one is done in its time. One task so
 //! takes `MOST_CRASHES` targets at most, and neighbours with it on the first two at most.
 //! **Gives up.** A task that was alone on a target that crashed by itself, and on another such
-//! target before, fails, as does one that was done there and whose end wasn't heard.
+//! target before, fails. A short task whose target is found to be gone only later is in doubt: it
+//! takes `MOST_CRASHES` targets, and its job ends unfinished.
 
 use crate::message::AttemptOutcome;
 use crate::Millis;
@@ -36,6 +41,18 @@
 /// by themselves and none is empty, waiting for longer would make short jobs late.
 const QUARANTINE_WAIT_MS: Millis = 50;
 
+/// The least share of the time expected of it in which an attempt may be done: running times spread
+/// around estimates, and a slow target may become quicker.
+const QUICKEST_SHARE: f64 = 0.5;
+
+/// Returns how long an attempt takes from now at the least, in ms. `total_ms` is the time expected of
+/// all of its work, `percent` what is done of it.
+#[must_use]
+pub fn least_remaining_ms(total_ms: f64, percent: u8) -> Millis {
+    let left = 1.0 - f64::from(percent.min(100)) / 100.0;
+    (total_ms * left * QUICKEST_SHARE) as Millis
+}
+
 /// How a target was lost while attempts ran there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetLoss {
@@ -50,9 +67,9 @@
 /// Whether an attempt ran on a target when that was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ran {
-    /// The target had said that it has it, and nothing was to end it.
+    /// The target had said that it has it, nothing was to end it, and it can't have been done.
     Surely,
-    /// Its start had no reply, or it was being stopped.
+    /// Its start had no reply, it was being stopped, or it may have been done.
     Perhaps,
     /// The target had stopped it.
     No,
--- a/crates/dispatcher-core/src/rules/progress.rs
+++ b/crates/dispatcher-core/src/rules/progress.rs
@@ -99,6 +99,23 @@
         }
     }
 
+    /// Returns the percent of its work that is done.
+    #[must_use]
+    pub fn percent(&self) -> u8 {
+        self.percent
+    }
+
+    /// Returns how long all of its work takes at the quickest pace shown so far, in ms, once any
+    /// shows.
+    #[must_use]
+    pub fn quickest_total_ms(&self) -> Option<f64> {
+        let done = self.percent - self.first.percent;
+        let run_ms = self.since.saturating_sub(self.first.clock) as f64;
+        let whole_ms = (done > 0).then(|| run_ms * 100.0 / f64::from(done));
+        let shown = [whole_ms, self.pace_ms(), self.fastest_ms];
+        shown.into_iter().flatten().reduce(f64::min)
+    }
+
     /// Returns whether its target tells its progress.
     #[must_use]
     pub fn is_told(&self) -> bool {
--- a/crates/dispatcher-core/src/settings.rs
+++ b/crates/dispatcher-core/src/settings.rs
@@ -123,6 +123,8 @@
     pub idle_targets_are_asked: bool,
     /// A target that starts again under its id is told from the one before.
     pub lives_are_told_apart: bool,
+    /// An attempt that may have been done before its target crashed didn't surely crash it.
+    pub unheard_ends_are_reckoned: bool,
     /// How many targets crashed under a task is counted.
     pub crashes_are_counted: bool,
 }
@@ -147,6 +149,7 @@
             acquiring_tokens_are_fresh: true,
             idle_targets_are_asked: true,
             lives_are_told_apart: true,
+            unheard_ends_are_reckoned: true,
             crashes_are_counted: true,
         }
     }
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -5,7 +5,7 @@
 use crate::decision::EndEvidence;
 use crate::event::CallId;
 use crate::message::{AttemptEnd, Envelope, SpreadLimit, TaskOrder};
-use crate::rules::crashes::Ran;
+use crate::rules::crashes::{self, Ran};
 use crate::rules::long_tasks::TaskSize;
 use crate::rules::progress::Progress;
 use crate::rules::running_time::TaskKind;
@@ -93,6 +93,8 @@
     pub(super) latest_begin: Millis,
     /// How far it has got, once its target has told that it has it.
     pub(super) progress: Option<Progress>,
+    /// When its target last told how far it has got.
+    progress_heard: Millis,
     /// Whether it stands still, as its target's last listing showed.
     pub(super) stalled: bool,
     pub(super) stop: StopStage,
@@ -117,6 +119,7 @@
             confirmed: None,
             latest_begin,
             progress: None,
+            progress_heard: now,
             stalled: false,
             stop: StopStage::Wanted,
             report: true,
@@ -146,7 +149,8 @@
     }
 
     /// Records how far its target's listing says that it has got.
-    pub(super) fn observe_progress(&mut self, percent: u8, clock: Millis) {
+    pub(super) fn observe_progress(&mut self, now: Millis, percent: u8, clock: Millis) {
+        self.progress_heard = now;
         let first = Progress::first_told(percent, clock);
         let progress = self.progress.get_or_insert(first);
         progress.observe(percent, clock);
@@ -201,20 +205,32 @@
         stopped || confirmed || self.latest_begin < asked
     }
 
-    /// Returns whether it ran, if its target is lost now.
-    pub(super) fn ran(&self) -> Ran {
+    /// Returns whether it ran when its target was lost, which was known to be gone at `gone_by`;
+    /// without that an attempt whose end wasn't heard counts as running.
+    pub(super) fn ran(&self, gone_by: Option<Millis>) -> Ran {
         if self.unsent.is_some() {
             return Ran::No;
         }
+        let may_be_done = gone_by.is_some_and(|gone_by| self.earliest_end() <= gone_by);
         match (self.stop, self.confirmed) {
             (StopStage::Done(_), _) => Ran::No,
-            (StopStage::Wanted, Some(_)) => Ran::Surely,
-            (StopStage::Wanted, None) | (StopStage::ToSend | StopStage::Sent { .. }, _) => {
-                Ran::Perhaps
-            }
+            (StopStage::Wanted, Some(_)) if !may_be_done => Ran::Surely,
+            (StopStage::Wanted | StopStage::ToSend | StopStage::Sent { .. }, _) => Ran::Perhaps,
         }
     }
 
+    /// Returns the earliest time at which it may be done, as far as it has shown.
+    fn earliest_end(&self) -> Millis {
+        let estimate_ms = self.estimate_ms as f64;
+        let told = self.progress.filter(Progress::is_told);
+        let Some(progress) = told else {
+            return self.started + crashes::least_remaining_ms(estimate_ms, 0);
+        };
+        let total_ms = progress.quickest_total_ms();
+        let total_ms = total_ms.unwrap_or(estimate_ms).min(estimate_ms);
+        self.progress_heard + crashes::least_remaining_ms(total_ms, progress.percent())
+    }
+
     /// Returns whether it counts for a limit of tasks of one step.
     pub(super) fn counts_for(&self, limit: &SpreadLimit) -> bool {
         self.spread.as_ref() == Some(&limit.step)
--- a/crates/dispatcher-core/src/targets/claims.rs
+++ b/crates/dispatcher-core/src/targets/claims.rs
@@ -198,9 +198,11 @@
 
     /// Records that the target's process is another one by now.
     pub(super) fn incarnation_over(&mut self, now: Millis, id: &Name) {
+        let known = self.targets.get(id);
+        let gone_by = known.and_then(|target| self.gone_by(now, target));
         if let Some(target) = self.targets.get_mut(id) {
-            let reports =
-                target.end_all(now, TargetLoss::ProcessGone, EndEvidence::WrongIncarnation);
+            let (loss, by) = (TargetLoss::ProcessGone, EndEvidence::WrongIncarnation);
+            let reports = target.end_all(now, loss, gone_by, by);
             target.lease.give_up();
             target.forget();
             target.lease.backoff_until = now + contention::BACKOFF_MS;
--- a/crates/dispatcher-core/src/targets/ends.rs
+++ b/crates/dispatcher-core/src/targets/ends.rs
@@ -45,7 +45,7 @@
         for listed in listing.running {
             self.confirm(now, &listed.id);
             self.repeat_stop(&listed.id, listing.asked);
-            self.observe_progress(listed, listing.clock);
+            self.observe_progress(now, listed, listing.clock);
         }
         let is_listed = |id: &AttemptId| listing.running.iter().any(|listed| listed.id == *id);
         let over = self
@@ -115,27 +115,34 @@
         })
     }
 
-    /// Ends all attempts, since the target was lost.
+    /// Ends all attempts, since the target was lost; see [`Target::lost_outcomes`].
     pub(super) fn end_all(
         &mut self,
         now: Millis,
         loss: TargetLoss,
+        gone_by: Option<Millis>,
         by: EndEvidence,
     ) -> Vec<EndReport> {
-        let outcomes = self.lost_outcomes(loss).into_iter();
+        let outcomes = self.lost_outcomes(loss, gone_by).into_iter();
         outcomes
             .filter_map(|(id, outcome)| self.end(now, &id, outcome, by))
             .collect()
     }
 
-    /// Returns how the attempts here end now that the target is lost.
-    pub(super) fn lost_outcomes(&self, loss: TargetLoss) -> BTreeMap<AttemptId, AttemptOutcome> {
+    /// Returns how the attempts here end now that the target is lost, which was known to be gone at
+    /// `gone_by`.
+    pub(super) fn lost_outcomes(
+        &self,
+        loss: TargetLoss,
+        gone_by: Option<Millis>,
+    ) -> BTreeMap<AttemptId, AttemptOutcome> {
         let attempts = self.attempts.values();
-        let running = attempts.filter(|attempt| attempt.ran() != Ran::No).count();
+        let running = attempts.filter(|attempt| attempt.ran(gone_by) != Ran::No);
+        let running = running.count();
         let others = running.saturating_sub(1);
         let leaving = self.entry.leaving;
         let outcomes = self.attempts.iter().map(|(id, attempt)| {
-            let outcome = crashes::outcome(loss, leaving, attempt.ran(), others);
+            let outcome = crashes::outcome(loss, leaving, attempt.ran(gone_by), others);
             (id.clone(), outcome)
         });
         outcomes.collect()
--- a/crates/dispatcher-core/src/targets/lives.rs
+++ b/crates/dispatcher-core/src/targets/lives.rs
@@ -9,6 +9,8 @@
 //! back, which any reply tells. Only calls that carry the present token count: what was sent
 //! before says nothing of the life that was found since.
 
+use std::collections::BTreeMap;
+
 use crate::decision::{BeliefSource, EndEvidence, TargetBelief};
 use crate::event::{Born, TargetReply};
 use crate::message::{AttemptId, AttemptOutcome};
@@ -33,6 +35,13 @@
         });
     }
 
+    /// Returns when a target that is lost was known to be gone, at the latest now; none if ends
+    /// that weren't heard aren't reckoned with.
+    pub(super) fn gone_by(&self, now: Millis, target: &Target) -> Option<Millis> {
+        let reckoned = self.safeguards.unheard_ends_are_reckoned;
+        reckoned.then(|| target.refuses_since.unwrap_or(now))
+    }
+
     /// Drops what is known of a target's last life where a reply is of another one.
     pub(super) fn look_at_life(&mut self, now: Millis, sent: &Sent, reply: &TargetReply) {
         let Some(target) = self.targets.get_mut(&sent.target) else {
@@ -48,10 +57,16 @@
             }
             return;
         }
+        let gone_by = self.gone_by(now, &self.targets[&sent.target]);
+        let Some(target) = self.targets.get_mut(&sent.target) else {
+            return;
+        };
         let token = self.tokens.next(now);
         let asked = listing_asked_at(sent);
         self.reports.extend(target.end_unsent(now));
-        let reports = target.begin_life(now, token, self.times.longest_attempts_over, asked, reply);
+        let lost = target.lost_outcomes(TargetLoss::Restarted, gone_by);
+        let over = self.times.longest_attempts_over;
+        let reports = target.begin_life(now, token, over, asked, lost, reply);
         self.reports.extend(reports);
         let by = BeliefSource::WrongIncarnation;
         self.record_target(&sent.target, TargetBelief::Restarted, by);
@@ -76,6 +91,7 @@
     /// one: those that a target had confirmed before it was asked for the listing (`asked`), and
     /// that aren't listed. Those whose start may have come to the new life are stopped there:
     /// they carried a time of the old clock, so that it may have granted them the longest lease.
+    /// `lost` tells how attempts end that the new life doesn't list.
     ///
     /// A clock that went back ends no attempt by itself, so that nothing rests on the clocks
     /// of targets alone: the next listing shows what runs.
@@ -85,6 +101,7 @@
         token: u64,
         longest_attempts_over: Millis,
         asked: Option<Millis>,
+        lost: BTreeMap<AttemptId, AttemptOutcome>,
         reply: &TargetReply,
     ) -> Vec<EndReport> {
         let told = asked.filter(|_| self.tells_other_life(reply));
@@ -94,7 +111,7 @@
         self.lease.begin_life(now, token);
         // What a life before that had is known better from then.
         let before = std::mem::take(&mut self.lost_life);
-        self.lost_life = self.lost_outcomes(TargetLoss::Restarted);
+        self.lost_life = lost;
         self.lost_life.extend(before);
         let attempts = self.attempts.iter();
         let over = attempts.filter(|(id, attempt)| {
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -21,18 +21,19 @@
     /// more.
     pub fn end_expired(&mut self, now: Millis) {
         for id in &self.active {
+            let gone_by = self.gone_by(now, &self.targets[id]);
             let target = self.targets.get_mut(id);
             let target = target.expect("active targets are known");
             let waits = self.safeguards.silent_attempts_are_waited_for;
             let silent = target.health.silent_since().is_some();
             let over = target.lease.attempts_are_over(now) || (!waits && silent);
             if !target.is_idle() && over {
-                let loss = if target.refuses {
+                let loss = if target.refuses_since.is_some() {
                     TargetLoss::ProcessGone
                 } else {
                     TargetLoss::Silent
                 };
-                let reports = target.end_all(now, loss, EndEvidence::LeaseExpired);
+                let reports = target.end_all(now, loss, gone_by, EndEvidence::LeaseExpired);
                 self.reports.extend(reports);
                 target.doubt_life();
             }
--- a/crates/dispatcher-core/src/targets/replies.rs
+++ b/crates/dispatcher-core/src/targets/replies.rs
@@ -30,7 +30,7 @@
             Ok(reply) => self.look_at_life(now, &sent, reply),
             Err(SendFailure::Refused) => {
                 if let Some(target) = self.targets.get_mut(&sent.target) {
-                    target.refuses = true;
+                    target.refuses_since.get_or_insert(now);
                 }
             }
             Err(SendFailure::NotSent | SendFailure::Unknown) => {}
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -58,8 +58,8 @@
     reservation: Option<Reservation>,
     /// The attempt beside which nothing else may run, while it is there.
     alone: Option<AttemptId>,
-    /// Whether nothing listened at its address when it was called last.
-    pub(super) refuses: bool,
+    /// Since when nothing listens at its address, as far as it wasn't heard since.
+    pub(super) refuses_since: Option<Millis>,
     /// What it had when it was found to have started again, and how that ends where the new
     /// life doesn't list it.
     pub(super) lost_life: BTreeMap<AttemptId, AttemptOutcome>,
@@ -84,7 +84,7 @@
             born: None,
             reservation: None,
             alone: None,
-            refuses: false,
+            refuses_since: None,
             lost_life: BTreeMap::new(),
         }
     }
@@ -325,7 +325,7 @@
             clock,
         });
         self.health.answered();
-        self.refuses = false;
+        self.refuses_since = None;
     }
 
     /// Records a call without reply; returns whether the target is silent.
@@ -348,10 +348,10 @@
     }
 
     /// Records how far a listing says that an attempt has got.
-    pub(super) fn observe_progress(&mut self, listed: &ListedAttempt, clock: Millis) {
+    pub(super) fn observe_progress(&mut self, now: Millis, listed: &ListedAttempt, clock: Millis) {
         let attempt = self.attempts.get_mut(&listed.id);
         if let (Some(attempt), Some(percent)) = (attempt, listed.percent) {
-            attempt.observe_progress(percent, clock);
+            attempt.observe_progress(now, percent, clock);
         }
     }
 
