Start nothing that waited for a target whose lease must end

A start that waited for an idle target to be heard could have found that the lease may not be extended, and no end of it known: it goes elsewhere. By reading; no run showed it.

--- a/crates/dispatcher-core/src/targets/unsent.rs
+++ b/crates/dispatcher-core/src/targets/unsent.rs
@@ -25,10 +25,10 @@
         self.safeguards.idle_targets_are_asked && (unheard || target.has_unsent())
     }
 
-    /// Sends the starts that waited for a target that is heard now, if it is still held.
+    /// Sends the starts that waited for a target that is heard now, if they may extend its lease.
     pub(super) fn target_heard(&mut self, now: Millis, id: &Name) {
         let target = &self.targets[id];
-        if !target.lease.is_held() {
+        if !target.lease.is_held() || self.is_left_to_lease(target) {
             return self.end_unsent(now, id);
         }
         for attempt in target.unsent() {
