--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -469,40 +469,49 @@
     """The case couldn't run."""
 
 
-class Proxy:
-    """Forwards connections. `hold(data)` returns for how many seconds the bytes of a connection
-    are held back, as by retransmissions, starting with `data`; other connections aren't affected."""
+class LossyLink:
+    """Forwards connections, and loses packets.
 
-    def __init__(self, record, address, server, hold=lambda data: 0):
-        self.record, self.address, self.server, self.hold = record, address, server, hold
+    What is read at once counts as a packet, and so does the end of a connection (empty data).
+    `is_lost(data)` is asked each time a packet is sent. A lost packet is sent again after 0.2 s,
+    then after twice as long each time, as TCP does. Connections don't affect each other, and their
+    set-up isn't lost.
+    """
+
+    FIRST_RETRANSMISSION_S = 0.2
+
+    def __init__(self, address, server):
+        self.address, self.server = address, server
+        self.is_lost = lambda data: False
 
     async def start(self):
         self.listener = await asyncio.start_server(self.forward, *self.address)
 
+    async def transmit(self, data):
+        """Waits until a packet has come through."""
+        pause = self.FIRST_RETRANSMISSION_S
+        while self.is_lost(data):
+            await asyncio.sleep(pause)
+            pause *= 2
+
+    async def copy(self, source, sink):
+        try:
+            while data := await source.read(65536):
+                await self.transmit(data)
+                sink.write(data)
+                await sink.drain()
+            await self.transmit(b"")
+        except ConnectionError:
+            pass
+        finally:
+            sink.close()
+
     async def forward(self, reader, writer):
         try:
             to_reader, to_writer = await asyncio.open_connection(*self.server)
-        except OSError:
+            await asyncio.gather(self.copy(reader, to_writer), self.copy(to_reader, writer))
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
-            return
-
-        async def copy(source, sink, hold):
-            try:
-                while data := await source.read(65536):
-                    seconds = hold(data)
-                    if seconds:
-                        await asyncio.sleep(seconds)
-                    sink.write(data)
-                    await sink.drain()
-                    if seconds:
-                        # The connection's end is a packet of its own.
-                        await asyncio.sleep(0.25)
-            except ConnectionError:
-                pass
-            sink.close()
-
-        await asyncio.gather(
-            copy(reader, to_writer, self.hold), copy(to_reader, writer, lambda data: 0))
 
 
 # --- the deployment ------------------------------------------------------------------------------
@@ -624,17 +633,21 @@
 
 def overlaps(runs):
     """Returns the pairs of runs of one task that ran at the same time, for over 50 ms."""
+    by_task = {}
+    for run in runs:
+        by_task.setdefault(run[3], []).append(run)
     pairs = []
-    for i, first in enumerate(runs):
-        for second in runs[i + 1:]:
-            if first[3] == second[3] and second[0] < first[1] - 0.05:
-                pairs.append((first, second))
+    for of_task in by_task.values():
+        for i, first in enumerate(of_task):
+            for second in of_task[i + 1:]:
+                if second[0] < min(first[1], second[1]) - 0.05:
+                    pairs.append((first, second))
     return pairs
 
 
-def main(folder, case, limit_s=110):
+def main(folder, case, limit_s=110, record_name="record.txt"):
     """Runs a case: `case(record, deployment, trouble)` returns whether the rule was kept."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.join(folder, record_name))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
 
