Review case 2: more runners, so that each run shows the late request

Cause: with 20 jobs and six runners one run of 14 held, since all second attempts went to the host of the first.

--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -540,7 +540,7 @@
         for _ in range(100):
             net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
             try:
-                for last in range(1, 30):
+                for last in range(1, 40):
                     for port in (8080, 8161, 8166, 8167, 8169, 9464):
                         with socket.socket() as sock:
                             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
