Show tasks that run twice after an entry of another writer

Cause: an entry with a field of another type is believed, and a 421 from its address ends attempts that go on elsewhere.

--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -299,15 +299,18 @@
     def clock(self):
         return (time.monotonic() - self.clock_from) * 1000
 
-    def write_entry(self):
-        self.sequence += 1
-        self.store.put("servers", self.id, {
+    def entry(self):
+        return {
             "service": self.platform.service, "address": self.address, "zone": self.zone,
             "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "memory_request_mb": 262_144, "gpus": 0},
             "labels": self.labels, "clock_ms": int(self.clock()), "sequence": self.sequence,
             "born": self.born,
-        })
+        }
+
+    def write_entry(self):
+        self.sequence += 1
+        self.store.put("servers", self.id, self.entry())
 
     async def _tick(self, life):
         next_beat = time.monotonic() + HEARTBEAT_S
