Show a stale seed that brings in another deployment's configuration

Cause: hosts don't tell which deployment they belong to. Change: review/8; the stand-in's settings may hold a stale seed.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run; TROUBLE=0 leaves
+# the disruption out.
+cd "$(dirname "$0")" || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -466,8 +466,12 @@
         self.expected_end = False
         self.keeper = None
 
-    def write_settings(self, hosts):
-        seeds = ",".join(f'"127.0.0.1:{host.peers}"' for host in hosts[:3])
+    def write_settings(self, hosts, stale_seed=None):
+        """Writes the settings; `stale_seed` is a port that takes the place of the third seed."""
+        ports = [host.peers for host in hosts[:3]]
+        if stale_seed is not None:
+            ports[2:] = [stale_seed]
+        seeds = ",".join(f'"127.0.0.1:{port}"' for port in ports)
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(
                 f'name = "{self.name}"\nhall = "{self.hall}"\n'
@@ -568,20 +572,21 @@
 
     ZONES = ["sisak-hall", "karlovac-hall", "zagreb-hall"]
 
-    def __init__(self, record):
-        self.record = record
+    def __init__(self, record, zones=ZONES, service="gauge-answers"):
+        self.record, self.zones = record, zones
         self.directory = tempfile.mkdtemp(prefix="gannetridge-review-")
-        self.platform = Platform(record)
+        self.platform = Platform(record, service)
         self.hosts = []
 
-    async def start(self, hosts=3, runners_per_zone=4, labels=lambda number: ["a", "r1"]):
-        await self.platform.start(self.ZONES, runners_per_zone, labels)
+    async def start(self, hosts=3, runners_per_zone=4, labels=lambda number: ["a", "r1"],
+                    stale_seed=None):
+        await self.platform.start(self.zones, runners_per_zone, labels)
         for number in range(hosts):
-            hall = self.ZONES[number % 3]
+            hall = self.zones[number % 3]
             name = f"frontend-{hall}-{number // 3 + 1}"
             self.hosts.append(Host(self.record, self.directory, name, hall, self.platform.store))
         for host in self.hosts:
-            host.write_settings(self.hosts)
+            host.write_settings(self.hosts, stale_seed)
             await host.start()
             host.keeper = asyncio.create_task(host.keep())
         await self.until_ready(20)
