Review case 8: the reused address of a removed host does the same

Cause: a host takes whoever answers at a peer's address for that peer. Change: review/8 removes a host by default; FORM=seed is the earlier form.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,7 @@
-"""A stale seed: its address has been reused by a host of the other deployment."""
+"""A host is removed, and its address is reused by a host of the other deployment.
+
+FORM=seed: nothing is removed; one of the three seeds has such an address from the start.
+"""
 
 import asyncio
 import os
@@ -9,6 +12,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-2"))
 import standin  # noqa: E402
 
+FORM = os.environ.get("FORM", "removed")
+# Over `address_reuse_s` (2).
+REUSE_S = 3.0
+
 
 async def case(record, gauges, trouble):
     turns = standin.Deployment(record, ["ulemiste-a", "ulemiste-b", "kopli"], "turn-resolver")
@@ -23,8 +30,25 @@
     turns.platform.configure(40, [("move", "/move/", 0)])
     await turns.start(hosts=3, runners_per_zone=4)
     gauges.platform.configure(7, [("level", "/level/", 0)])
-    stale = turns.hosts[0].peers if trouble else standin.free_port()
-    await gauges.start(hosts=3, runners_per_zone=4, stale_seed=stale)
+    if FORM == "seed":
+        stale = turns.hosts[0].peers if trouble else standin.free_port()
+        await gauges.start(hosts=3, runners_per_zone=4, stale_seed=stale)
+    else:
+        await gauges.start(hosts=4, runners_per_zone=4)
+        await asyncio.sleep(3)
+        removed = gauges.hosts.pop()
+        await removed.leave()
+        await asyncio.sleep(REUSE_S)
+        newcomer = standin.Host(record, turns.directory, "frontend-kopli-2", "kopli",
+                                turns.platform.store)
+        if trouble:
+            newcomer.peers = removed.peers
+        turns.hosts.append(newcomer)
+        newcomer.write_settings(turns.hosts)
+        await newcomer.start()
+        newcomer.keeper = asyncio.create_task(newcomer.keep())
+        await turns.until_ready(20)
+        record.write("address-taken", port=newcomer.peers, by=newcomer.name)
     await asyncio.sleep(6)
     draw, wrong, asked = random.Random(7), [], 0
     for _ in range(10):
--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -514,6 +514,14 @@
         self.record.write("SIGTERM", host=self.name)
         self.process.send_signal(signal.SIGTERM)
 
+    async def leave(self):
+        """Stops the process for good with SIGTERM."""
+        self.keeper.cancel()
+        self.record.write("SIGTERM", host=self.name)
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.wait()
+        self.record.write("host-left", host=self.name, code=self.process.returncode)
+
     async def is_ready(self):
         status, _ = await request(self.readiness, "GET", "/-/readiness", timeout=1.0)
         return status == 200
