--- a/review/8/case.py
+++ b/review/8/case.py
@@ -21,12 +21,12 @@
 
         async def one(port=host.callers, job_id=job_id):
             status, _ = await standin.submit(
-                record, port, "/level/", job_id, 2, 200, requirements="b"
+                record, port, "/level/", job_id, 4, 200, requirements="b"
             )
             counts.append(status)
 
         asyncio.create_task(one())
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.03)
 
 
 async def case(record, deployment, trouble):
