--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -41,7 +41,8 @@
     """The case couldn't run; it says nothing about the rule."""
 
 
-_next_port = FIRST_PORT + os.getpid() * 37 % 9_000
+# Scripts that run side by side look for ports in different places.
+_next_port = FIRST_PORT + os.getpid() % 100 * 100
 
 
 def free_port():
@@ -534,6 +535,7 @@
     async def end(self):
         if self.keeper is not None:
             self.keeper.cancel()
+            await asyncio.gather(self.keeper, return_exceptions=True)
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -590,6 +592,8 @@
         self.directory = tempfile.mkdtemp(prefix="gannetridge-review-")
         self.platform = Platform(record, service)
         self.hosts = []
+        # Hosts that have left the deployment.
+        self.removed = []
 
     async def start(self, hosts=3, runners_per_zone=4, labels=lambda number: ["a", "r1"],
                     stale_seed=None):
@@ -614,7 +618,7 @@
         raise CannotRun("the hosts don't become ready")
 
     async def end(self):
-        for host in self.hosts:
+        for host in self.hosts + self.removed:
             await host.end()
         for runner in self.platform.runners:
             runner.up = False
@@ -631,6 +635,10 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        # Ended from outside, the script still ends what it started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         deployment = Deployment(record)
         try:
             async with asyncio.timeout(110):
@@ -641,7 +649,7 @@
     try:
         held = asyncio.run(play())
         code = 0 if held else 1
-    except (CannotRun, TimeoutError) as error:
+    except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
         record.write("CANNOT-RUN", reason=repr(error))
         code = 2
     record.write("RESULT", trouble=int(trouble), code=code)
