--- a/crates/dispatcher/src/peer_api.rs
+++ b/crates/dispatcher/src/peer_api.rs
@@ -87,7 +87,7 @@
 pub fn send_failure(error: &CallError) -> SendFailure {
     match error {
         CallError::NotSent(cause) if cause.is_connection_refused() => SendFailure::Refused,
-        CallError::NotSent(_) => SendFailure::NotSent,
+        CallError::NotSent(_) | CallError::InvalidRequest(_) => SendFailure::NotSent,
         CallError::OutcomeUnknown(_) => SendFailure::Unknown,
     }
 }
--- a/crates/entry-call/src/send.rs
+++ b/crates/entry-call/src/send.rs
@@ -148,7 +148,9 @@
         );
         let reply = match call.await {
             Ok(reply) => reply,
-            Err(CallError::NotSent(_)) => return Ok(Outcome::NotSent),
+            Err(CallError::NotSent(_) | CallError::InvalidRequest(_)) => {
+                return Ok(Outcome::NotSent)
+            }
             Err(CallError::OutcomeUnknown(_)) => return Ok(Outcome::Resend(0)),
         };
         let body = String::from_utf8_lossy(&reply.body).into_owned();
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -35,7 +35,7 @@
 
 fn send_failure(error: &CallError) -> SendFailure {
     match error {
-        CallError::NotSent(_) => SendFailure::NotSent,
+        CallError::NotSent(_) | CallError::InvalidRequest(_) => SendFailure::NotSent,
         CallError::OutcomeUnknown(_) => SendFailure::Unknown,
     }
 }
@@ -172,7 +172,7 @@
             PLATFORM_TIMEOUT,
         );
         let reply = sent.await.map_err(|error| match error {
-            CallError::NotSent(_) => TableFailure::NotDone,
+            CallError::NotSent(_) | CallError::InvalidRequest(_) => TableFailure::NotDone,
             CallError::OutcomeUnknown(_) => TableFailure::Unclear,
         })?;
         if reply.status != StatusCode::OK {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -70,6 +70,9 @@
 /// The reason why a call has no reply.
 #[derive(Debug, Error)]
 pub enum CallError {
+    /// The method, path or headers form no valid request; nothing was sent.
+    #[error("invalid request: {0}")]
+    InvalidRequest(#[source] http::Error),
     /// No byte of the request was written, so the server can't have processed it.
     #[error("request not sent: {0}")]
     NotSent(#[source] ReadError),
@@ -121,7 +124,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`CallError::NotSent`] only if no byte was written.
+    /// Fails with [`CallError::InvalidRequest`] if `path` isn't a valid URI, and with
+    /// [`CallError::NotSent`] only if no byte was written.
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -131,7 +135,7 @@
         body: Bytes,
         wait: Duration,
     ) -> Result<ClientReply, CallError> {
-        let mut req = request(addr, method, path, body);
+        let mut req = request(addr, method, path, body)?;
         let content_type = HeaderValue::from_static(content_type);
         req.headers_mut().insert(CONTENT_TYPE, content_type);
         self.exchange(addr, req, wait).await
@@ -142,7 +146,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`CallError::NotSent`] only if no byte was written.
+    /// Fails with [`CallError::InvalidRequest`] if `path` isn't a valid URI, and with
+    /// [`CallError::NotSent`] only if no byte was written.
     pub async fn call_with(
         &self,
         addr: SocketAddr,
@@ -152,7 +157,7 @@
         body: Bytes,
         wait: Duration,
     ) -> Result<ClientReply, CallError> {
-        let mut req = request(addr, method, path, body);
+        let mut req = request(addr, method, path, body)?;
         req.headers_mut().extend(headers);
         self.exchange(addr, req, wait).await
     }
@@ -241,7 +246,12 @@
     std::future::poll_fn(|cx| Poll::Ready(peek.as_mut().poll(cx).is_pending())).await
 }
 
-fn request(addr: SocketAddr, method: Method, path: &str, body: Bytes) -> Request<Payload> {
+fn request(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Payload>, CallError> {
     let payload: Payload = if body.is_empty() {
         Payload::None
     } else {
@@ -253,7 +263,7 @@
         .version(Version::HTTP_11)
         .header(http::header::HOST, addr.to_string())
         .body(payload)
-        .expect("callers pass valid paths")
+        .map_err(CallError::InvalidRequest)
 }
 
 /// Sends a request and reads its reply. `wait` bounds the time until the head and then each
--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use gannetridge_entry_wire::peer::{ConfigDoc, ConfigSnapshot};
-use gannetridge_net::{Client, ClientLimits};
+use gannetridge_net::{CallError, Client, ClientLimits};
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -169,8 +169,11 @@
             );
             let reply = match call.await {
                 Ok(reply) => reply,
-                Err(gannetridge_net::CallError::NotSent(_)) => continue,
-                Err(gannetridge_net::CallError::OutcomeUnknown(_)) => {
+                Err(error @ CallError::InvalidRequest(_)) => {
+                    return Err(ChangeError::Refused(error.to_string()));
+                }
+                Err(CallError::NotSent(_)) => continue,
+                Err(CallError::OutcomeUnknown(_)) => {
                     may_have_changed = true;
                     continue;
                 }
