Put configurations with numbers of any size in force

Cause: the priority was read as one byte, and one number that doesn't fit made the row unreadable. Evidence: each host logged `faulty-rows` with the reason `fields` for the key `config`, and the same change with priority 200 came into force. Ruled out: a row that doesn't arrive, or counts as older.

The latency objective has an upper bound, since its sum could overflow.

--- a/crates/dispatcher-core/src/configuration.rs
+++ b/crates/dispatcher-core/src/configuration.rs
@@ -8,11 +8,14 @@
 use gannetridge_wire::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The extension of queues that configure none.
 const DEFAULT_EXTENSION: f64 = 2.0;
 
+/// The upper bound of a latency objective, in ms: keeps sums of times from overflowing.
+pub const MAX_LATENCY_OBJECTIVE_MS: Millis = 1 << 40;
+
 /// A queue that callers submit to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
@@ -25,7 +28,7 @@
     /// The pool whose targets run its tasks.
     pub pool: Name,
     /// The urgency of its tasks; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// The number of failed attempts at one task that fails its job; 0 counts as 1.
     pub max_attempts: u32,
     /// The factor of the latency objective: the objective is this times the job's longest chain
@@ -37,10 +40,13 @@
 
 impl Queue {
     /// Returns the latency objective, in ms, of a job whose longest chain of tasks
-    /// takes `work_ms`.
+    /// takes `work_ms`; [`MAX_LATENCY_OBJECTIVE_MS`] at most.
     #[must_use]
     pub fn latency_objective(&self, work_ms: Millis) -> Millis {
-        (work_ms as f64 * self.extension_or_default()) as Millis + self.slack_ms
+        let work_part = (work_ms as f64 * self.extension_or_default()) as Millis;
+        work_part
+            .saturating_add(self.slack_ms)
+            .min(MAX_LATENCY_OBJECTIVE_MS)
     }
 
     /// Returns the configured extension, or the default if none is configured.
--- a/crates/dispatcher-core/src/dispatcher/backlog.rs
+++ b/crates/dispatcher-core/src/dispatcher/backlog.rs
@@ -23,7 +23,7 @@
 use crate::settings::WaitingOrder;
 use crate::spec::Resources;
 use crate::targets::{Owner, OwnerSession, Reach};
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::placement::MAX_SCHEDULED;
 use super::Dispatcher;
@@ -56,7 +56,7 @@
 
     /// Returns the expected wait of a task that waits at this host, in ms; `None` if this host has
     /// no usable capacity in its pool.
-    pub(super) fn own_wait_ms(&self, order: &TaskOrder, urgency: u8) -> Option<Millis> {
+    pub(super) fn own_wait_ms(&self, order: &TaskOrder, urgency: Urgency) -> Option<Millis> {
         let mut loads = self.own_loads.iter();
         let load = loads.find(|load| load.pool == order.pool)?;
         expected_wait_ms(&load.waiting, u64::from(load.capacity_cpu), urgency, 0)
--- a/crates/dispatcher-core/src/dispatcher/load.rs
+++ b/crates/dispatcher-core/src/dispatcher/load.rs
@@ -18,7 +18,7 @@
 use crate::rules::hall_load::HallLoad;
 use crate::spec::Resources;
 use crate::targets::PoolCapacity;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::peer_calls::{body, Purpose};
 use super::placement::MAX_SCHEDULED;
@@ -179,7 +179,7 @@
 }
 
 /// Adds a waiting task to the load of its pool.
-fn add_waiting(load: &mut PoolLoad, urgency: u8, needed: &Resources, estimate_ms: Millis) {
+fn add_waiting(load: &mut PoolLoad, urgency: Urgency, needed: &Resources, estimate_ms: Millis) {
     load.queue_cpu = load.queue_cpu.saturating_sub(needed.cpu);
     load.add_waiting(&WaitingWork {
         urgency,
--- a/crates/dispatcher-core/src/dispatcher/placement.rs
+++ b/crates/dispatcher-core/src/dispatcher/placement.rs
@@ -13,7 +13,7 @@
 use crate::rules::target_choice::FailedSearches;
 use crate::settings::WaitingAt;
 use crate::targets::{Owner, OwnerSession, Reach, TargetLeases};
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::peer_calls::{Purpose, PEER_RETRY_MS};
 use super::Dispatcher;
@@ -21,7 +21,7 @@
 /// The most waiting tasks considered after one event; bounds its cost.
 pub(super) const MAX_SCHEDULED: usize = 64;
 /// The urgency assumed for tasks whose request doesn't carry it: the most urgent.
-pub(super) const DEFAULT_URGENCY: u8 = 0;
+pub(super) const DEFAULT_URGENCY: Urgency = 0;
 
 /// The last advertised demand.
 #[derive(Clone, Debug)]
--- a/crates/dispatcher-core/src/jobs/ending.rs
+++ b/crates/dispatcher-core/src/jobs/ending.rs
@@ -14,7 +14,7 @@
 use crate::rules::giving_up::{self, OpenJob};
 use crate::rules::retry::ANSWER_RETENTION_MS;
 use crate::settings::WaitingOrder;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::job::{attempt_id, Job, TaskState};
 use super::{AttemptToStop, Jobs, Remembered, MAX_REMEMBERED};
@@ -50,7 +50,7 @@
         &mut self,
         now: Millis,
         id: &Name,
-        on_time: Option<u8>,
+        on_time: Option<Urgency>,
         context: &TickContext<impl Fn(&TaskOrder) -> bool>,
     ) {
         let job = self.jobs.get_mut(id).expect("the job was found");
@@ -73,7 +73,7 @@
         &self,
         now: Millis,
         id: &Name,
-        on_time: Option<u8>,
+        on_time: Option<Urgency>,
         context: &TickContext<impl Fn(&TaskOrder) -> bool>,
     ) -> Option<EndCause> {
         let job = &self.jobs[id];
--- a/crates/dispatcher-core/src/jobs/job.rs
+++ b/crates/dispatcher-core/src/jobs/job.rs
@@ -8,7 +8,7 @@
 use crate::rules::giving_up::OpenJob;
 use crate::rules::priority::{priority, WaitingJob};
 use crate::spec::JobSpec;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The host whose target runs an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -221,7 +221,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ReadyKey {
     pub(super) class: PriorityClass,
-    pub(super) urgency: u8,
+    pub(super) urgency: Urgency,
     /// The latest start at which the job keeps its class, in ms of this host's clock;
     /// negative if that lies before the clock's zero.
     pub(super) latest_start: i64,
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -11,7 +11,7 @@
 use crate::rules::long_tasks::TaskSize;
 use crate::rules::shares::Origin;
 use crate::spec::Resources;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::job::{attempt_id, step_name, ReadyKey, TaskState};
 use super::Jobs;
@@ -70,7 +70,7 @@
 
     /// Returns the urgency of the most urgent of the jobs that haven't started and can still
     /// meet their objective.
-    pub(super) fn on_time_urgency(&self) -> Option<u8> {
+    pub(super) fn on_time_urgency(&self) -> Option<Urgency> {
         let keys = self.ready.iter();
         let on_time = keys.filter(|key| key.class == PriorityClass::OnTime);
         on_time.map(|key| key.urgency).min()
--- a/crates/dispatcher-core/src/lib.rs
+++ b/crates/dispatcher-core/src/lib.rs
@@ -44,3 +44,6 @@
 
 /// Milliseconds of this host's clock, which keeps running while the host is suspended.
 pub type Millis = u64;
+
+/// The urgency of a queue; 0 is the most urgent. Operators may choose any number.
+pub type Urgency = u64;
--- a/crates/dispatcher-core/src/message.rs
+++ b/crates/dispatcher-core/src/message.rs
@@ -13,7 +13,7 @@
 use crate::configuration::Configuration;
 use crate::event::{TargetChange, TargetEntry, TargetList};
 use crate::spec::Resources;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The identity of a host's process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -129,7 +129,7 @@
     /// The main criterion.
     pub class: PriorityClass,
     /// The queue's urgency; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// The time until the latest start that keeps the class, in ms; negative once it has passed.
     pub slack_ms: i64,
 }
@@ -175,7 +175,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingWork {
     /// The urgency of their queues; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// The number of tasks.
     pub tasks: u32,
     /// The sum of their estimated processor times, in core-ms.
--- a/crates/dispatcher-core/src/peers/choice.rs
+++ b/crates/dispatcher-core/src/peers/choice.rs
@@ -16,7 +16,7 @@
 };
 use crate::rules::peer_choice::{freer_of_two, Preference, MAX_ADVERTISED_PEERS};
 use crate::spec::Resources;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// One-way delay to a host of the same hall, with the handling there, in ms.
 const SAME_HALL_DELAY_MS: Millis = 1;
@@ -186,7 +186,7 @@
         now: Millis,
         peer: &Peer,
         order: &TaskOrder,
-        urgency: u8,
+        urgency: Urgency,
         is_asked: impl Fn(&Name) -> bool,
     ) -> Option<HolderView> {
         let places = peer.places(now, order, urgency);
--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -11,7 +11,7 @@
 use crate::rules::target_choice::suits;
 use crate::spec::Resources;
 use crate::target_list::TargetEntry;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::peer::Peer;
 
@@ -96,7 +96,7 @@
     }
 
     /// Returns where it could start or queue a task whose queue has this urgency.
-    pub(super) fn places(&self, now: Millis, order: &TaskOrder, urgency: u8) -> KnownPlaces {
+    pub(super) fn places(&self, now: Millis, order: &TaskOrder, urgency: Urgency) -> KnownPlaces {
         let mut places = KnownPlaces {
             near: Availability::None,
             far: Availability::None,
@@ -131,7 +131,7 @@
 
     /// Returns the expected wait of a task in its pool's queue there; `None` if the task can't
     /// be queued.
-    fn expected_wait(&self, order: &TaskOrder, urgency: u8) -> Option<Availability> {
+    fn expected_wait(&self, order: &TaskOrder, urgency: Urgency) -> Option<Availability> {
         let mut pools = self.load.pools.iter();
         let pool = pools.find(|load| load.pool == order.pool)?;
         if order.resources.cpu > pool.queue_cpu {
@@ -148,7 +148,7 @@
 
     /// Deducts a task that is handed over to it from the known load: from the target on which it is
     /// expected to start, otherwise from the queue of its pool.
-    pub(super) fn deduct_handed_over(&mut self, order: &TaskOrder, urgency: u8) {
+    pub(super) fn deduct_handed_over(&mut self, order: &TaskOrder, urgency: Urgency) {
         let targets = self.load.free_targets.iter_mut();
         let fitting = targets.filter(|target| target.fits(order));
         let best = fitting.min_by_key(|target| {
--- a/crates/dispatcher-core/src/rules/arrival.rs
+++ b/crates/dispatcher-core/src/rules/arrival.rs
@@ -25,7 +25,7 @@
 
 use crate::decision::Forecast;
 use crate::message::PoolLoad;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::priority::worth_ms;
 
@@ -44,7 +44,7 @@
     /// Thousandths of a core of all listed targets.
     listed_cpu: u64,
     /// Waiting work in core-ms, by urgency.
-    waiting: BTreeMap<u8, u64>,
+    waiting: BTreeMap<Urgency, u64>,
     /// The age of the oldest load included, in ms.
     age_ms: Option<Millis>,
 }
@@ -115,7 +115,7 @@
     ///
     /// Panics if no capacity is known.
     #[must_use]
-    pub fn wait_ms(&self, urgency: u8, more_core_ms: u64) -> Millis {
+    pub fn wait_ms(&self, urgency: Urgency, more_core_ms: u64) -> Millis {
         let before: u64 = self.waiting.range(..=urgency).map(|(_, work)| work).sum();
         (before + more_core_ms) * 1_000 / self.known_cpu
     }
@@ -127,7 +127,7 @@
     /// The job's id; spreads the times to retry.
     pub id: &'a Name,
     /// The urgency of its queue; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// The work of all its tasks, in core-ms.
     pub core_ms: u64,
     /// The estimated running time of its longest chain of tasks, in ms.
@@ -173,7 +173,7 @@
     if job.has_free_target || wait_ms <= slack_ms {
         return Arrival::accepted(Forecast::OnTime, Some(wait_ms));
     }
-    let wait_behind_all_ms = pool.wait_ms(u8::MAX, job.core_ms);
+    let wait_behind_all_ms = pool.wait_ms(Urgency::MAX, job.core_ms);
     let worth_ms = worth_ms(job.objective_ms).min(job.deadline_ms);
     if wait_behind_all_ms + job.chain_ms <= worth_ms {
         return Arrival::accepted(Forecast::Late, Some(wait_behind_all_ms));
--- a/crates/dispatcher-core/src/rules/giving_up.rs
+++ b/crates/dispatcher-core/src/rules/giving_up.rs
@@ -38,7 +38,7 @@
 use crate::decision::EndCause;
 use crate::rules::priority::worth_ms;
 use crate::settings::WaitingOrder;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The share of its time that a job may wait without having started.
 const MAX_WAIT_SHARE: f64 = 0.45;
@@ -111,7 +111,7 @@
 /// Returns whether a job that will be late is passed over. `on_time` is the most urgent of the
 /// urgencies of waiting jobs that can still be on time.
 #[must_use]
-pub fn is_passed_over(order: WaitingOrder, urgency: u8, on_time: Option<u8>) -> bool {
+pub fn is_passed_over(order: WaitingOrder, urgency: Urgency, on_time: Option<Urgency>) -> bool {
     match order {
         WaitingOrder::Class => on_time.is_some(),
         WaitingOrder::Shares => on_time.is_some_and(|most_urgent| most_urgent <= urgency),
--- a/crates/dispatcher-core/src/rules/hall_load.rs
+++ b/crates/dispatcher-core/src/rules/hall_load.rs
@@ -11,7 +11,7 @@
 //! has in one piece.
 
 use crate::message::{add_waiting, PoolLoad, WaitingWork};
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The total load of the targets in one hall.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -44,7 +44,7 @@
 pub fn expected_wait_ms(
     waiting: &[WaitingWork],
     capacity_cpu: u64,
-    urgency: u8,
+    urgency: Urgency,
     core_ms: u64,
 ) -> Option<Millis> {
     /// Thousandths of a core in one core.
--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -18,7 +18,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// Capacity reserved beyond the average, in standard deviations: with more, the long tasks lose
 /// more than the short ones gain.
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct TaskSize {
     /// The urgency of its queue; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// Thousandths of a core that it needs.
     pub cpu: u32,
     /// Its estimated running time, in ms.
@@ -90,7 +90,7 @@
 /// Limits long tasks by the recent arrivals at one host, in all pools together.
 #[derive(Clone, Debug, Default)]
 pub struct LongTaskLimit {
-    arrived: BTreeMap<u8, RecentArrivals>,
+    arrived: BTreeMap<Urgency, RecentArrivals>,
     decayed: Millis,
 }
 
--- a/crates/dispatcher-core/src/rules/priority.rs
+++ b/crates/dispatcher-core/src/rules/priority.rs
@@ -11,7 +11,7 @@
 //! queue.
 
 use crate::message::{Priority, PriorityClass};
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// An answer is worth something up to this many times the latency objective.
 const WORTH_OBJECTIVES: Millis = 3;
@@ -26,7 +26,7 @@
     /// Whether a task of it was started, even if its attempt was lost.
     pub started: bool,
     /// The urgency of its queue; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
 }
 
 /// Returns for how long after a job's acceptance its answer is worth something, in ms.
--- a/crates/dispatcher-core/src/rules/shares.rs
+++ b/crates/dispatcher-core/src/rules/shares.rs
@@ -23,7 +23,7 @@
 
 use gannetridge_wire::Name;
 
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// The share of the capacity that the waiting tasks of each urgency get, whatever more urgent work
 /// waits.
@@ -48,7 +48,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Origin<'a> {
     /// The urgency of its queue; 0 is the most urgent.
-    pub urgency: u8,
+    pub urgency: Urgency,
     /// The queue of the job.
     pub queue: &'a Name,
     /// The hall of the host that its caller is connected to.
@@ -147,7 +147,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     weights: Weights,
-    levels: BTreeMap<u8, Level>,
+    levels: BTreeMap<Urgency, Level>,
     /// When the usage of urgencies last decayed, in ms.
     decayed: Millis,
 }
@@ -200,7 +200,7 @@
 
     /// Returns whether an urgency has used less than its minimum share.
     #[must_use]
-    pub fn is_below_min_share(&self, urgency: u8) -> bool {
+    pub fn is_below_min_share(&self, urgency: Urgency) -> bool {
         let all: f64 = self.levels.values().map(|level| level.used).sum();
         let used = self.levels.get(&urgency).map_or(0.0, |level| level.used);
         used < MIN_SHARE * all
--- a/crates/dispatcher-core/src/rules/waiting_order.rs
+++ b/crates/dispatcher-core/src/rules/waiting_order.rs
@@ -23,7 +23,7 @@
 use std::cmp::Ordering;
 
 use crate::message::PriorityClass;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::shares::{Origin, Shares, VirtualStart};
 
@@ -71,7 +71,7 @@
 pub struct Rank {
     worth: Worth,
     has_min_share: bool,
-    urgency: u8,
+    urgency: Urgency,
     class: PriorityClass,
     virtual_start: VirtualStart,
     slack_ms: i64,
--- a/crates/dispatcher-core/src/targets/attempt.rs
+++ b/crates/dispatcher-core/src/targets/attempt.rs
@@ -11,7 +11,7 @@
 use crate::rules::running_time::TaskKind;
 use crate::rules::target_health::{RunningTime, TargetHealth};
 use crate::spec::Resources;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 /// Identifies on whose behalf an attempt runs: a host and its session with this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,7 +79,7 @@
     pub(super) started: Millis,
     pub(super) estimate_ms: Millis,
     /// The urgency of the task's queue; 0, the most urgent, if it isn't known.
-    pub(super) urgency: u8,
+    pub(super) urgency: Urgency,
     /// The group of tasks whose running times are learned together.
     pub(super) kind: TaskKind,
     /// True if the task's data lies in another rack.
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -6,7 +6,7 @@
 use crate::decision::Decision;
 use crate::message::{AttemptId, Demand, FreeResources, TaskOrder};
 use crate::rules::target_choice;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::target::Target;
 use super::{Owner, Purpose, TargetLeases};
@@ -45,7 +45,7 @@
         owner: &Owner,
         order: &TaskOrder,
         reach: Reach,
-        urgency: u8,
+        urgency: Urgency,
     ) -> bool {
         if !self.may_start(order) {
             return false;
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -13,7 +13,7 @@
 use crate::rules::target_choice::{self, Candidate};
 use crate::rules::target_health::TargetHealth;
 use crate::spec::Resources;
-use crate::Millis;
+use crate::{Millis, Urgency};
 
 use super::attempt::{Attempt, Owner, StopStage};
 use super::capacity::Capacity;
@@ -259,7 +259,7 @@
     }
 
     /// Sets the urgency of an attempt's queue.
-    pub(super) fn set_urgency(&mut self, id: &AttemptId, urgency: u8) {
+    pub(super) fn set_urgency(&mut self, id: &AttemptId, urgency: Urgency) {
         if let Some(attempt) = self.attempts.get_mut(id) {
             attempt.urgency = urgency;
         }
--- a/crates/dispatcher-core/tests/arrival.rs
+++ b/crates/dispatcher-core/tests/arrival.rs
@@ -15,7 +15,7 @@
 
 /// Returns the load of one of two holders of 100 cores each; `waiting` lists urgencies and
 /// core-ms.
-fn load(waiting: &[(u8, u64)]) -> PoolLoad {
+fn load(waiting: &[(u64, u64)]) -> PoolLoad {
     let work = |&(urgency, core_ms)| WaitingWork {
         urgency,
         tasks: 1,
--- a/crates/dispatcher-core/tests/backlog.rs
+++ b/crates/dispatcher-core/tests/backlog.rs
@@ -194,7 +194,7 @@
 
 /// Returns the task that is started first at a full holder with two waiting tasks: an own one, and
 /// one of a peer with the given urgency and slack.
-fn first_started(peers_urgency: u8, peers_slack_ms: i64) -> String {
+fn first_started(peers_urgency: u64, peers_slack_ms: i64) -> String {
     let (mut rig, running) = full_holder();
     let mut task = handed(&rig, "c.0.0.0", 100);
     task.priority.urgency = peers_urgency;
--- a/crates/dispatcher-core/tests/holder_choice.rs
+++ b/crates/dispatcher-core/tests/holder_choice.rs
@@ -118,7 +118,7 @@
 });
 
 /// Returns the load of a host of 10 cores, with `tasks` waiting tasks of 100 core-ms each.
-fn pool_load(used_cpu: u32, urgency: u8, tasks: u32) -> PoolLoad {
+fn pool_load(used_cpu: u32, urgency: u64, tasks: u32) -> PoolLoad {
     PoolLoad {
         pool: "a".into(),
         capacity_cpu: 10_000,
--- a/crates/dispatcher-core/tests/support/slot_pool.rs
+++ b/crates/dispatcher-core/tests/support/slot_pool.rs
@@ -24,7 +24,7 @@
 pub struct Load {
     pub queue: &'static str,
     pub hall: &'static str,
-    pub urgency: u8,
+    pub urgency: u64,
     pub tasks: u32,
     pub task_ms: Millis,
     pub slots: f64,
@@ -262,7 +262,7 @@
 
     /// Returns the load that the holder reports.
     fn load(&self) -> PoolLoad {
-        let mut waiting: BTreeMap<u8, WaitingWork> = BTreeMap::new();
+        let mut waiting: BTreeMap<u64, WaitingWork> = BTreeMap::new();
         for job in self.jobs.values() {
             let work = waiting.entry(job.load.urgency).or_insert(WaitingWork {
                 urgency: job.load.urgency,
--- a/crates/dispatcher-core/tests/waiting_order.rs
+++ b/crates/dispatcher-core/tests/waiting_order.rs
@@ -25,7 +25,7 @@
 /// The share of its answers that a queue has on time if the capacity suffices for its load.
 const SERVED: f64 = 0.95;
 
-fn load(queue: &'static str, urgency: u8, tasks: u32, task_ms: Millis, part: f64) -> Load {
+fn load(queue: &'static str, urgency: u64, tasks: u32, task_ms: Millis, part: f64) -> Load {
     Load {
         queue,
         hall: "north",
@@ -211,7 +211,7 @@
     assert!(simulate_seeds(&alone, &policy(compare)).all(|outcome| outcome.idle_slot_ms == 0.0));
 });
 
-const fn task(urgency: u8, estimate_ms: Millis) -> TaskSize {
+const fn task(urgency: u64, estimate_ms: Millis) -> TaskSize {
     TaskSize {
         urgency,
         cpu: 8_000,
@@ -253,7 +253,7 @@
 });
 
 /// Compares two tasks, each given by urgency, class and slack.
-fn compared(a: (u8, PriorityClass, i64), b: (u8, PriorityClass, i64)) -> Ordering {
+fn compared(a: (u64, PriorityClass, i64), b: (u64, PriorityClass, i64)) -> Ordering {
     let (queue, hall) = ("queue".into(), "north".into());
     let waiting = |(urgency, class, slack_ms)| WaitingEntry {
         origin: Origin {
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -295,7 +295,7 @@
             self.hall_cpu.record(load.capacity_cpu, &part("capacity"));
             self.hall_cpu.record(load.used_cpu, &part("used"));
             for work in &load.waiting {
-                let urgency = KeyValue::new("urgency", i64::from(work.urgency));
+                let urgency = KeyValue::new("urgency", work.urgency.to_string());
                 self.hall_waiting_core_ms
                     .record(work.core_ms, &[hall.clone(), urgency]);
             }
