Use a target's entry only for the incarnation that wrote it

Cause: a listing shows the incarnation by its start time, but the entry's start time wasn't read, so the labels of the previous incarnation's entry were used until the next read of the table. Ruled out: starts that were chosen before the restart and sent after it, which end with the restart.

An entry now carries its writer's start time, and a target whose entry and listing differ in it gets no task until they agree; starts that wait for its reply end. While the list isn't settled, tasks that require no label still start, since the new entry may be missing for long. A job isn't refused because of such an entry. Hosts of earlier releases can't decode an entry with a start time and read the list from the store instead.

--- a/crates/dispatcher-core/src/event.rs
+++ b/crates/dispatcher-core/src/event.rs
@@ -1,6 +1,7 @@
 //! The input of a host, in types that depend neither on the platform's formats nor on sockets.
 
 use gannetridge_wire::Name;
+use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
 use crate::decision::EntryFault;
@@ -73,7 +74,7 @@
 
 /// When a target's process started, in ms since 1970 on its own wall clock. It distinguishes
 /// incarnations under the same id; it must not be used as a clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProcessStartTime(pub u64);
 
 /// A target's reply to a call.
--- a/crates/dispatcher-core/src/target_list.rs
+++ b/crates/dispatcher-core/src/target_list.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::EntryFault;
+use crate::event::ProcessStartTime;
 use crate::spec::Resources;
 
 /// A target in the platform's list.
@@ -26,6 +27,10 @@
     pub labels: Vec<Name>,
     /// True if the target is leaving: it gets no new tasks.
     pub leaving: bool,
+    /// When the incarnation that wrote the entry started, if the entry says so. Hosts of earlier
+    /// releases can't decode an entry with it and read the list from the store instead.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub process_start: Option<ProcessStartTime>,
 }
 
 /// An entry of the platform's list that can't be used: it can't be read, or has a value that this
--- a/crates/dispatcher-core/src/targets/capacity.rs
+++ b/crates/dispatcher-core/src/targets/capacity.rs
@@ -89,8 +89,13 @@
         }
     }
 
-    /// Returns true if the target could run the task, now or once its resources are free.
+    /// Returns true if the target could run the task, now or once its resources are free. An entry
+    /// that isn't current rules out no task of its pool: the running incarnation may suit it.
     pub(super) fn could_run(&self, order: &TaskOrder) -> bool {
+        if !self.is_entry_current() {
+            let is_avoided = order.avoid.contains(&self.entry.id);
+            return self.entry.pool == order.pool && !is_avoided;
+        }
         target_choice::could_run(&self.entry, &self.capacity.reported.maximum(), order)
     }
 
--- a/crates/dispatcher-core/src/targets/free_capacity.rs
+++ b/crates/dispatcher-core/src/targets/free_capacity.rs
@@ -117,7 +117,7 @@
         let mut usable = self.usable_targets(now);
         usable.any(|target| {
             let is_far = target_choice::is_far(&target.entry, order);
-            target.could_run(order) && !(near && is_far)
+            target.suits(order) && target.could_run(order) && !(near && is_far)
         })
     }
 }
--- a/crates/dispatcher-core/src/targets/starts.rs
+++ b/crates/dispatcher-core/src/targets/starts.rs
@@ -58,7 +58,7 @@
             };
             allowed
                 && !target.is_reserved_for_others(now, &owner.host)
-                && target_choice::suits(&target.entry, order)
+                && target.suits(order)
                 && target.fits(order)
         });
         let cost = |target: &&Target| target.cost(now, order, self.far_slowdown);
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -105,6 +105,21 @@
         self.attempts.is_empty()
     }
 
+    /// Returns false if the entry describes another incarnation than the one that sent the last
+    /// listing, which may be of another kind. Without both start times they can't be told apart.
+    pub(super) fn is_entry_current(&self) -> bool {
+        let described = self.entry.process_start;
+        let running = self.incarnation_start;
+        described.is_none() || running.is_none() || described == running
+    }
+
+    /// Returns true if the task may run here, as soon as the resources are free. The labels of an
+    /// entry that isn't current meet no requirement.
+    pub(super) fn suits(&self, order: &TaskOrder) -> bool {
+        let labels_are_known = order.requirement.is_none() || self.is_entry_current();
+        labels_are_known && target_choice::suits(&self.entry, order)
+    }
+
     /// Returns true if an attempt is being stopped whose task may be started elsewhere once the
     /// lease has expired, even if the stop is never confirmed.
     pub(super) fn has_unconfirmed_stop(&self) -> bool {
--- a/crates/dispatcher-core/src/targets/unsent_starts.rs
+++ b/crates/dispatcher-core/src/targets/unsent_starts.rs
@@ -30,7 +30,8 @@
     /// must not be extended.
     pub(super) fn resolve_unsent_starts(&mut self, now: Millis, id: &Name) {
         let target = &self.targets[id];
-        if !target.lease.is_held() || self.lets_lease_expire(target) {
+        let is_described = target.is_entry_current() || !self.list_is_settled(now);
+        if !target.lease.is_held() || self.lets_lease_expire(target) || !is_described {
             return self.end_unsent(now, id);
         }
         for attempt in target.unsent_attempts() {
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -12,7 +12,6 @@
 use crate::decision::{StateSource, TargetState};
 use crate::message::{FreeResources, TaskOrder};
 use crate::rules::draining::HallSet;
-use crate::rules::target_choice;
 use crate::spec::Resources;
 use crate::Millis;
 
@@ -66,7 +65,7 @@
     pub fn has_free_resources(&self, now: Millis, order: &TaskOrder) -> bool {
         let mut leased = self.leased_targets();
         leased.any(|target| {
-            target_choice::suits(&target.entry, order)
+            target.suits(order)
                 && target.free().fits(&order.resources)
                 && self.is_usable(now, target)
         })
@@ -131,17 +130,20 @@
     }
 
     /// Returns true if tasks may be started on a target: it wasn't removed from the list, its entry
-    /// is usable, neither it nor its hall is being drained, it answers and is healthy, its lease
+    /// is usable and current, neither it nor its hall is being drained, it answers and is healthy, its lease
     /// lasts long enough, and it isn't to be released to another host.
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
-        let is_listed = target.unlisted_since.is_none() || !self.store.list_is_settled(now);
+        // While the list isn't settled, the entry of a new incarnation may be missing for long.
+        let is_settled = self.store.list_is_settled(now);
+        let is_listed = target.unlisted_since.is_none() || !is_settled;
+        let is_described = target.is_entry_current() || !is_settled;
         let is_leaving = target.entry.leaving && self.safeguards.leaving_targets_are_skipped;
         let is_staying =
             !is_leaving && !target.is_entry_unusable && !self.is_draining(&target.entry.hall);
         let lease_lasts = !self.lets_lease_expire(target)
             || target.remaining_lease_ms(now) >= MIN_REMAINING_LEASE_MS;
         let may_start = lease_lasts && !self.is_release_due(now, target);
-        is_listed && is_staying && may_start && target.accepts_tasks(now)
+        is_listed && is_described && is_staying && may_start && target.accepts_tasks(now)
     }
 
     /// Returns true if the target's lease must expire unless its pending stops are confirmed first.
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
-use gannetridge_dispatcher_core::event::TargetChange;
+use gannetridge_dispatcher_core::event::{ProcessStartTime, TargetChange, TargetEntry};
 use gannetridge_dispatcher_core::message::{
     AttemptEnd, AttemptId, AttemptOutcome, CrashRecord, Demand, DrainingUpdate, EchoedClock,
     Envelope, FreeResources, HandedTask, Heartbeat, HeartbeatReply, HolderLoad, HostInfo,
@@ -215,6 +215,27 @@
     }
 }
 
+fn entry(process_start: Option<ProcessStartTime>) -> TargetEntry {
+    TargetEntry {
+        id: "target-7".into(),
+        address: "10.0.0.2:80".into(),
+        hall: "hall-a".into(),
+        pool: "pool-1".into(),
+        capacity: resources(4_000),
+        labels: vec!["arch-1".into()],
+        leaving: false,
+        process_start,
+    }
+}
+
+/// Returns an update with one entry of a target.
+fn listing(process_start: Option<ProcessStartTime>) -> StoreUpdate {
+    StoreUpdate {
+        list: TargetListUpdate::Whole(vec![entry(process_start)]),
+        ..store_update()
+    }
+}
+
 fn store_update() -> StoreUpdate {
     StoreUpdate {
         targets_version: 300,
@@ -253,6 +274,10 @@
     request_store_news: envelope(Request::StoreUpdates { after: 300 });
     request_platform_news: envelope(Request::PlatformUpdates { after: 300 });
     reply_store_news: reply(ReplyBody::StoreUpdates(Some(store_update())));
+    reply_entry: reply(ReplyBody::StoreUpdates(Some(listing(None))));
+    reply_entry_with_start: reply(ReplyBody::StoreUpdates(Some(listing(Some(
+        ProcessStartTime(1_700_000_000_456)
+    )))));
     reply_platform_news: reply(ReplyBody::PlatformUpdates(Some(PlatformUpdate {
         store: store_update(),
         draining: Some(DrainingUpdate { version: 301, halls: vec!["hall-b".into()] }),
@@ -276,3 +301,13 @@
     reply_noted: reply(ReplyBody::Acknowledged);
     reply_stale: reply(ReplyBody::Stale);
 }
+
+/// Entries of earlier releases have no start time.
+#[test]
+fn entries_with_and_without_a_start_time_are_decoded() {
+    for process_start in [None, Some(ProcessStartTime(1_700_000_000_456))] {
+        let entry = entry(process_start);
+        let bytes = codec::encode(&entry).unwrap();
+        assert_eq!(codec::decode::<TargetEntry>(&bytes).unwrap(), entry);
+    }
+}
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -68,6 +68,7 @@
         },
         labels: vec!["a".into(), "r1".into()],
         leaving: false,
+        process_start: None,
     }
 }
 
--- a/crates/dispatcher-sim/src/world/setup.rs
+++ b/crates/dispatcher-sim/src/world/setup.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
-use gannetridge_dispatcher_core::event::TargetEntry;
+use gannetridge_dispatcher_core::event::{ProcessStartTime, TargetEntry};
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::spec::Resources;
 use gannetridge_dispatcher_core::{Dispatcher, Event, Settings};
@@ -39,6 +39,7 @@
             },
             labels: vec!["a".into()],
             leaving: false,
+            process_start: Some(ProcessStartTime(0)),
         };
         let clock_rate = self.rng.random_range(0.98..=1.0);
         let max_lease_ms = self.scenario.bounds.max_target_lease_ms;
--- a/crates/dispatcher-sim/src/world/target_restarts.rs
+++ b/crates/dispatcher-sim/src/world/target_restarts.rs
@@ -85,6 +85,7 @@
     pub(super) fn restart_target(&mut self, index: usize) {
         let process_start = ProcessStartTime(EPOCH_MS + self.now);
         self.targets[index].restart(self.now, process_start);
+        self.targets[index].entry.process_start = Some(process_start);
         let entry = self.targets[index].entry.clone();
         self.announce_target_changes(vec![TargetChange::Listed(entry)]);
     }
--- a/crates/dispatcher-sim/tests/two_holders.rs
+++ b/crates/dispatcher-sim/tests/two_holders.rs
@@ -75,6 +75,7 @@
         },
         labels: Vec::new(),
         leaving: false,
+        process_start: None,
     }
 }
 
