--- a/crates/dispatcher-core/src/peers/load.rs
+++ b/crates/dispatcher-core/src/peers/load.rs
@@ -102,13 +102,13 @@
             far: Availability::None,
             age_ms: now.saturating_sub(self.load.received_at),
         };
-        let (mut near_cpu, mut far_cpu) = (0, 0);
+        let (mut near_cpu, mut far_cpu) = (0_u32, 0_u32);
         let targets = self.load.free_targets.iter();
         for target in targets.filter(|target| target.fits(order)) {
             if is_near(&target.entry.labels, order) {
-                near_cpu += target.free.cpu;
+                near_cpu = near_cpu.saturating_add(target.free.cpu);
             } else {
-                far_cpu += target.free.cpu;
+                far_cpu = far_cpu.saturating_add(target.free.cpu);
             }
         }
         places.near = free_or_none(near_cpu);
--- a/crates/dispatcher-core/src/peers/peer.rs
+++ b/crates/dispatcher-core/src/peers/peer.rs
@@ -286,7 +286,8 @@
 
     /// Returns its known free processor capacity, in thousandths of a core.
     pub(super) fn free_cpu(&self) -> u32 {
-        self.free.iter().map(|free| free.resources.cpu).sum()
+        let cpu = self.free.iter().map(|free| free.resources.cpu);
+        cpu.fold(0, u32::saturating_add)
     }
 }
 
--- a/crates/dispatcher-core/src/rules/long_tasks.rs
+++ b/crates/dispatcher-core/src/rules/long_tasks.rs
@@ -128,8 +128,10 @@
                 (average_cpu + SAFETY_DEVIATIONS * cpu_variance.sqrt()).min(max_reserved);
             let is_long =
                 |other: &TaskSize| other.urgency > *urgency && arrived.is_long(other.estimate_ms);
-            let held: u32 = running.clone().filter(is_long).map(|other| other.cpu).sum();
-            if held > 0 && f64::from(held + task.cpu) > f64::from(capacity_cpu) - reserved {
+            let long = running.clone().filter(is_long);
+            let held = long.fold(0, |cpu: u32, other| cpu.saturating_add(other.cpu));
+            let with_task = held.saturating_add(task.cpu);
+            if held > 0 && f64::from(with_task) > f64::from(capacity_cpu) - reserved {
                 return false;
             }
         }
--- a/crates/dispatcher-core/src/targets/free_capacity.rs
+++ b/crates/dispatcher-core/src/targets/free_capacity.rs
@@ -103,7 +103,8 @@
         let mut running = RunningSizes::default();
         let usable = self.usable_targets(now);
         for target in usable.filter(|target| target.entry.pool == *pool) {
-            running.capacity_cpu += target.entry.capacity.cpu;
+            let capacity_cpu = target.entry.capacity.cpu;
+            running.capacity_cpu = running.capacity_cpu.saturating_add(capacity_cpu);
             let sizes = target.attempts.values().map(Attempt::size);
             running.sizes.extend(sizes);
         }
@@ -134,10 +135,13 @@
 
     fn add(&mut self, now: Millis, target: &Target, mean_attempt_cpu: u32) {
         let free = target.free().cpu;
-        let soon_cpu = free + target.expected_to_free(now, MAX_HOLDER_WAIT_MS);
-        self.capacity_cpu += target.entry.capacity.cpu;
-        self.used_cpu += target.entry.capacity.cpu.saturating_sub(free);
-        self.soon_free_cpu += whole_tasks_cpu(soon_cpu, mean_attempt_cpu);
+        let soon_cpu = free.saturating_add(target.expected_to_free(now, MAX_HOLDER_WAIT_MS));
+        let soon_free_cpu = whole_tasks_cpu(soon_cpu, mean_attempt_cpu);
+        let capacity_cpu = target.entry.capacity.cpu;
+        let used_cpu = capacity_cpu.saturating_sub(free);
+        self.capacity_cpu = self.capacity_cpu.saturating_add(capacity_cpu);
+        self.used_cpu = self.used_cpu.saturating_add(used_cpu);
+        self.soon_free_cpu = self.soon_free_cpu.saturating_add(soon_free_cpu);
     }
 }
 
--- a/crates/dispatcher-core/src/targets/mod.rs
+++ b/crates/dispatcher-core/src/targets/mod.rs
@@ -193,7 +193,7 @@
             known: self.targets.len(),
             leased: self.leased.len(),
             attempts: self.attempts(),
-            cpu_freed_soon: freed.sum(),
+            cpu_freed_soon: freed.fold(0, u32::saturating_add),
         }
     }
 
--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -205,7 +205,9 @@
         let slowdown = self.slowdown(now);
         let attempts = self.attempts.values();
         let ending = attempts.filter(|attempt| attempt.remaining_ms(now, slowdown) <= within_ms);
-        ending.map(|attempt| attempt.resources.cpu).sum()
+        ending.fold(0, |cpu: u32, attempt| {
+            cpu.saturating_add(attempt.resources.cpu)
+        })
     }
 
     /// Reserves the free resources for a peer.
--- a/crates/dispatcher/src/platform_client.rs
+++ b/crates/dispatcher/src/platform_client.rs
@@ -85,6 +85,23 @@
     Faulty(FaultyRow),
 }
 
+impl Row {
+    /// Returns the key of a row that is valid or was removed; `None` for a faulty row, and for
+    /// tables whose valid rows don't show their keys.
+    #[must_use]
+    pub fn valid_key(&self) -> Option<&Name> {
+        match self {
+            Self::Target(TargetChange::Listed(entry)) => Some(&entry.id),
+            Self::Target(TargetChange::Removed(id)) => Some(id),
+            Self::Host(host) => Some(&host.name),
+            Self::Target(TargetChange::Unusable(_))
+            | Self::Configuration(_)
+            | Self::Hall(_)
+            | Self::Faulty(_) => None,
+        }
+    }
+}
+
 /// A row that can't be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FaultyRow {
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -16,7 +16,7 @@
 use gannetridge_process::mailbox::ask;
 use tracing::info;
 
-use crate::faulty_rows;
+use crate::faulty_rows::FaultyRowLog;
 use crate::mailbox::{Message, Sender, StoreState};
 use crate::platform_client::{PlatformClient, Row, Rows, StoreError, Table};
 use crate::store_pace::pause_after_read;
@@ -154,6 +154,7 @@
 ) {
     let mut pause = RetryPause(RETRY_PAUSE_MS.0);
     let mut progress = TableProgress::default();
+    let mut faulty_rows = FaultyRowLog::new(table);
     let mut last_answer = clock.now();
     loop {
         let Ok(state) = ask(&tx, Message::StoreState).await else {
@@ -184,6 +185,9 @@
                 let interval = now.saturating_sub(last_answer);
                 last_answer = now;
                 let whole = next_read == TableRead::Whole;
+                if faulty_rows.report(&tx, &rows).is_err() {
+                    return;
+                }
                 if send_events(&tx, table, rows, whole, requested_at).is_err() {
                     return;
                 }
@@ -239,7 +243,6 @@
     requested_at: Duration,
 ) -> Result<(), DispatcherStopped> {
     report_reachable(tx, true)?;
-    faulty_rows::report(tx, table, &rows)?;
     let version = rows.version;
     let mut events = Vec::new();
     if whole && table == Table::Targets {
