Decode the entry hosts' list of targets entry by entry

An entry host that read one odd entry in the platform's list of targets could read none of it, and followed the list no more while the entry was there: new targets weren't used, and those that had gone were called.

Cause: the list was decoded as a whole, with strict types. Each entry is now decoded by itself. One that can't be used is left out, and a named target without a usable entry counts as gone; it is logged once with its name and the reason, and counted in faulty_entries_total.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use gannetridge_entry_core::{CallId, Event, SendFailure};
 use gannetridge_entry_wire::peer::{PeerReply, PeerRequest};
-use gannetridge_entry_wire::platform::{TableFailure, TableOp, TableResult, TargetList};
+use gannetridge_entry_wire::platform::{TableFailure, TableOp, TableResult};
 use gannetridge_entry_wire::target::{StartTask, TaskQuery, TaskReport};
 use gannetridge_net::{CallError, Client};
 use gannetridge_wire::codec;
@@ -16,6 +16,7 @@
 use tracing::warn;
 
 use crate::core_task::{Message, MessageSender};
+use crate::target_list::{self, DecodedList};
 
 /// The path on which entry hosts accept requests of peers.
 pub const PEER_PATH: &str = "/peer/v1";
@@ -61,6 +62,14 @@
         let _ = self.tx.send(Message::Event(Box::new(event)));
     }
 
+    fn report_list(&self, decoded: DecodedList) {
+        if !decoded.faulty.is_empty() {
+            // See `report`.
+            let _ = self.tx.send(Message::FaultyEntries(decoded.faulty));
+        }
+        self.report(Event::Listed(decoded.list));
+    }
+
     /// Sends a request to a peer. The reply becomes an [`Event::PeerReply`].
     pub fn call_peer(&self, call: CallId, address: &str, request: PeerRequest, wait_ms: u64) {
         let this = self.clone();
@@ -201,8 +210,8 @@
             );
             // After a failure the next poll reads the list again.
             match sent.await {
-                Ok(reply) => match serde_json::from_slice::<TargetList>(&reply.body) {
-                    Ok(list) => this.report(Event::Listed(list)),
+                Ok(reply) => match target_list::decode(&reply.body) {
+                    Ok(decoded) => this.report_list(decoded),
                     Err(error) => warn!(%error, "failed to decode the list of targets"),
                 },
                 Err(error) => warn!(%error, "failed to read the list of targets"),
--- a/crates/entry/src/core_task.rs
+++ b/crates/entry/src/core_task.rs
@@ -1,20 +1,25 @@
 //! The task that owns the host: it handles one message at a time and performs the
 //! actions that the host returns.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use gannetridge_entry_core::{
     Action, ChangeAnswer, ChangeRequest, Event, Host, RequestToken, TelemetryEvent,
 };
 use gannetridge_entry_wire::peer::{PeerReply, PeerRequest};
 use gannetridge_entry_wire::{Answer, Submission};
+use gannetridge_wire::Name;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use crate::calls::RequestSender;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::target_list::FaultyEntry;
+
+/// The most entries that are remembered as logged. Further ones are only counted.
+const MAX_LOGGED_FAULTS: usize = 4_096;
 
 /// Reads the state of the host and its metrics.
 pub type Inspect = Box<dyn FnOnce(&Host, &Metrics)>;
@@ -29,6 +34,8 @@
     Change(ChangeRequest, oneshot::Sender<ChangeAnswer>),
     /// Any event without a request to answer, such as the reply to a call.
     Event(Box<Event>),
+    /// Entries of the platform's list of targets that can't be used.
+    FaultyEntries(Vec<FaultyEntry>),
     /// Runs a function on the host's current state.
     Inspect(Inspect),
 }
@@ -53,6 +60,8 @@
     open_requests: HashMap<RequestToken, ReplyChannel>,
     last_token: u64,
     stopped: bool,
+    /// The entries in the list of targets that were logged as unusable, with the reason.
+    logged_faults: HashSet<(Name, String)>,
 }
 
 impl CoreTask {
@@ -74,6 +83,7 @@
             open_requests: HashMap::new(),
             last_token: 0,
             stopped: false,
+            logged_faults: HashSet::new(),
         }
     }
 
@@ -120,6 +130,7 @@
                 self.handle(Event::Change { token, change });
             }
             Message::Event(event) => self.handle(*event),
+            Message::FaultyEntries(entries) => self.report_faulty_entries(&entries),
             Message::Inspect(inspect) => {
                 self.metrics.record_gauges(&self.host);
                 inspect(&self.host, &self.metrics);
@@ -127,6 +138,18 @@
         }
     }
 
+    /// Counts entries that can't be used, and logs those that weren't logged for the same reason.
+    fn report_faulty_entries(&mut self, entries: &[FaultyEntry]) {
+        self.metrics.count_faulty_entries(entries.len());
+        for FaultyEntry { name, fault } in entries {
+            let line = (name.clone(), fault.to_string());
+            let is_full = self.logged_faults.len() >= MAX_LOGGED_FAULTS;
+            if !is_full && self.logged_faults.insert(line) {
+                warn!(%name, %fault, "an entry in the list of targets can't be used");
+            }
+        }
+    }
+
     fn register_request(&mut self, reply_channel: ReplyChannel) -> RequestToken {
         self.last_token += 1;
         let token = RequestToken(self.last_token);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod problem;
 pub mod public_api;
 pub mod settings;
+pub mod target_list;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -23,6 +23,7 @@
     refused: Counter<u64>,
     wasted: Counter<u64>,
     starts: Counter<u64>,
+    faulty_entries: Counter<u64>,
     shards: Gauge<u64>,
     config_version: Gauge<u64>,
     jobs: Gauge<u64>,
@@ -61,6 +62,10 @@
             refused: counter("requests_refused", "Requests refused as not run"),
             wasted: counter("messages_wasted", "Messages that helped nobody, by kind"),
             starts: counter("task_starts", "Starts sent to targets"),
+            faulty_entries: counter(
+                "faulty_entries",
+                "Entries in the list of targets that can't be used",
+            ),
             shards: gauge("shards_held", "Shards that this host holds"),
             config_version: gauge("config_version", "Version of the configuration in force"),
             jobs: gauge("jobs_running", "Jobs that this host runs"),
@@ -69,6 +74,11 @@
         })
     }
 
+    /// Counts entries in the list of targets that can't be used.
+    pub fn count_faulty_entries(&self, entries: usize) {
+        self.faulty_entries.add(entries as u64, &[]);
+    }
+
     /// Counts a task start sent to a target.
     pub fn count_start(&self) {
         self.starts.add(1, &[]);
