Refuse an unreadable queue alone, not the version that holds it

One route of a configuration that can't be decoded, for instance without a service, kept the whole version out of force: callers of every other queue were handled as the older version says.

Cause: the routes were decoded as one list. Each is now decoded by itself. One that can't be used is kept with what can be read of it; its requests are refused at once with 503 `queue-unusable`, it is logged once with its name, and counted. A queue with a longer prefix below it is served. Hosts of earlier releases can't decode a configuration with such a queue, and couldn't put it in force before either.

--- a/crates/dispatcher-core/src/action.rs
+++ b/crates/dispatcher-core/src/action.rs
@@ -29,6 +29,8 @@
     NotReady,
     /// No queue matches the virtual host and path.
     NoQueue,
+    /// The configuration of the queue can't be used.
+    QueueUnusable,
     /// The job is unknown to this host.
     NoJob,
     /// The job can't be accepted.
--- a/crates/dispatcher-core/src/configuration.rs
+++ b/crates/dispatcher-core/src/configuration.rs
@@ -60,6 +60,18 @@
     }
 }
 
+/// A queue whose configuration can't be used; its requests are refused. What can't be read of it is
+/// empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnusableQueue {
+    /// The name that logs use.
+    pub name: Name,
+    /// The virtual host that callers address.
+    pub host: Name,
+    /// The path prefix of its jobs.
+    pub prefix: Name,
+}
+
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -67,6 +79,10 @@
     pub version: u64,
     /// All queues that callers can submit to.
     pub queues: Vec<Queue>,
+    /// The queues whose configuration can't be used. Hosts of earlier releases can't decode a
+    /// configuration with such queues.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<UnusableQueue>,
 }
 
 impl Configuration {
@@ -81,11 +97,27 @@
     /// is ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
-        let host = host.split(':').next().unwrap_or_default();
         self.queues
             .iter()
-            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
-            .filter(|queue| path.starts_with(&*queue.prefix))
+            .filter(|queue| is_addressed(&queue.host, &queue.prefix, host, path))
             .max_by_key(|queue| queue.prefix.len())
     }
+
+    /// Returns true if an unusable queue has a longer prefix of `path` than any other queue of
+    /// virtual host `host`.
+    #[must_use]
+    pub fn is_unusable(&self, host: &str, path: &str) -> bool {
+        let unusable = self.unusable.iter();
+        let readable = unusable.filter(|queue| !queue.host.is_empty() && !queue.prefix.is_empty());
+        let addressed =
+            readable.filter(|queue| is_addressed(&queue.host, &queue.prefix, host, path));
+        let prefix_bytes = addressed.map(|queue| queue.prefix.len()).max();
+        prefix_bytes > self.find(host, path).map(|queue| queue.prefix.len())
+    }
+}
+
+/// Returns true if a request for a virtual host and a path is for a queue; a port is ignored.
+fn is_addressed(queue_host: &str, prefix: &str, host: &str, path: &str) -> bool {
+    let host = host.split(':').next().unwrap_or_default();
+    queue_host.eq_ignore_ascii_case(host) && path.starts_with(prefix)
 }
--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -68,6 +68,8 @@
         NoConfiguration = "no configuration",
         /// No queue matches the virtual host and path.
         UnknownQueue = "no such queue",
+        /// The configuration of the queue can't be used.
+        UnusableQueue = "unusable queue",
         /// The job's description is invalid or uses an unsupported feature.
         BadJob = "bad job",
         /// The host is shutting down and stops before the job's latency objective.
--- a/crates/dispatcher-core/src/rules/admission.rs
+++ b/crates/dispatcher-core/src/rules/admission.rs
@@ -1,7 +1,7 @@
 //! Decides whether a request becomes a job.
 //!
 //! **Rule.** A request that certainly can't be served is rejected at once: without a configuration,
-//! for an unknown queue, with an invalid or unsupported description, at a host that shuts down
+//! for an unknown or unusable queue, with an invalid or unsupported description, at a host that shuts down
 //! before the job's objective, at a host with [`MAX_JOBS`] jobs, and with a task that no known
 //! target could ever run. Every other request is accepted, and [`super::giving_up`] ends its job
 //! when no target is found. A request for a job that is already known joins it and doesn't start it
@@ -47,7 +47,7 @@
 ///
 /// # Errors
 ///
-/// Returns a rejection without a configuration, and if there is no such queue.
+/// Returns a rejection without a configuration, and if there is no such queue or it can't be used.
 pub fn resolve<'a>(
     configuration: Option<&'a Configuration>,
     host: &str,
@@ -57,6 +57,12 @@
         reason: Rejection::NoConfiguration,
         answer: Answer::NotReady,
     })?;
+    if configuration.is_unusable(host, path) {
+        return Err(Rejected {
+            reason: Rejection::UnusableQueue,
+            answer: Answer::QueueUnusable,
+        });
+    }
     let queue = configuration.find(host, path).ok_or(Rejected {
         reason: Rejection::UnknownQueue,
         answer: Answer::NoQueue,
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -182,6 +182,7 @@
             extension: 2.5,
             slack_ms: 120,
         }],
+        unusable: Vec::new(),
     }
 }
 
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -85,6 +85,7 @@
             extension: 1.6,
             slack_ms: 60,
         }],
+        unusable: Vec::new(),
     }
 }
 
--- a/crates/dispatcher-sim/src/world/setup.rs
+++ b/crates/dispatcher-sim/src/world/setup.rs
@@ -132,5 +132,6 @@
             extension: 1.6,
             slack_ms: 60,
         }],
+        unusable: Vec::new(),
     }
 }
--- a/crates/dispatcher-sim/tests/two_holders.rs
+++ b/crates/dispatcher-sim/tests/two_holders.rs
@@ -117,6 +117,7 @@
         Event::ConfigurationRead(Configuration {
             version: 1,
             queues: vec![queue],
+            unusable: Vec::new(),
         }),
     );
     host
--- a/crates/dispatcher/src/faulty_rows.rs
+++ b/crates/dispatcher/src/faulty_rows.rs
@@ -4,7 +4,7 @@
 //! [`FaultyRowLog`] owns the keys that were logged, for one table. What a faulty row means to the
 //! dispatcher is left to the caller.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use gannetridge_dispatcher_core::decision::EntryFault;
 use gannetridge_wire::Name;
@@ -63,14 +63,13 @@
             return;
         }
         for row in &rows.rows {
-            match row {
-                // The table's only row that can be faulty.
-                Row::Configuration(_) => self.logged.clear(),
-                row => {
-                    if let Some(key) = row.valid_key() {
-                        self.logged.remove(key);
-                    }
-                }
+            if let Some(key) = row.valid_key() {
+                self.logged.remove(key);
+            }
+            if matches!(row, Row::Configuration(_)) {
+                // The table's only row that can be faulty, and the queues in it.
+                let faulty: HashSet<Name> = rows.faults().map(|row| row.key).collect();
+                self.logged.retain(|key, _| faulty.contains(key));
             }
         }
     }
--- a/crates/dispatcher/src/platform_client.rs
+++ b/crates/dispatcher/src/platform_client.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use gannetridge_dispatcher_core::configuration::Configuration;
+use gannetridge_dispatcher_core::configuration::{Configuration, UnusableQueue};
 use gannetridge_dispatcher_core::decision::EntryFault;
 use gannetridge_dispatcher_core::event::{
     HallChange, SendFailure, Submit, TargetChange, TargetList, TargetReply, UnusableEntry,
@@ -73,7 +73,7 @@
 /// A decoded row of a table, or its removal.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Row {
-    /// A version of the configuration.
+    /// A version of the configuration, with the queues of it that can't be used.
     Configuration(Configuration),
     /// The start or end of a hall's draining.
     Hall(HallChange),
@@ -142,19 +142,30 @@
         list
     }
 
-    /// Returns the rows that can't be decoded, unusable entries of targets among them.
+    /// Returns the rows that can't be decoded, unusable entries of targets and unusable queues of a
+    /// configuration among them.
     pub fn faults(&self) -> impl Iterator<Item = FaultyRow> + '_ {
-        self.rows.iter().filter_map(|row| match row {
-            Row::Faulty(row) => Some(row.clone()),
-            Row::Target(TargetChange::Unusable(UnusableEntry { id, fault })) => Some(FaultyRow {
+        self.rows.iter().flat_map(|row| match row {
+            Row::Faulty(row) => vec![row.clone()],
+            Row::Target(TargetChange::Unusable(UnusableEntry { id, fault })) => vec![FaultyRow {
                 key: id.clone(),
                 fault: *fault,
-            }),
-            Row::Target(_) | Row::Configuration(_) | Row::Hall(_) | Row::Host(_) => None,
+            }],
+            Row::Configuration(configuration) => {
+                configuration.unusable.iter().map(faulty_queue).collect()
+            }
+            Row::Target(_) | Row::Hall(_) | Row::Host(_) => Vec::new(),
         })
     }
 }
 
+fn faulty_queue(queue: &UnusableQueue) -> FaultyRow {
+    FaultyRow {
+        key: format!("queue {} {}{}", queue.name, queue.host, queue.prefix).into(),
+        fault: EntryFault::Fields,
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum StoreError {
