Ask a target for a listing when its entry shows another incarnation

A target whose new entry arrived before its new incarnation was seen got no task until its next renewal, for an idle target up to 3 s later. The listing is now requested when the entry arrives, as after a change of its capacity.

Comments are rewrapped and say doesn't affect the others.

--- a/crates/dispatcher-core/src/rules/admission.rs
+++ b/crates/dispatcher-core/src/rules/admission.rs
@@ -1,11 +1,11 @@
 //! Decides whether a request becomes a job.
 //!
 //! **Rule.** A request that certainly can't be served is rejected at once: without a configuration,
-//! for an unknown or unusable queue, with an invalid or unsupported description, at a host that shuts down
-//! before the job's objective, at a host with [`MAX_JOBS`] jobs, and with a task that no known
-//! target could ever run. Every other request is accepted, and [`super::giving_up`] ends its job
-//! when no target is found. A request for a job that is already known joins it and doesn't start it
-//! again.
+//! for an unknown or unusable queue, with an invalid or unsupported description, at a host that
+//! shuts down before the job's objective, at a host with [`MAX_JOBS`] jobs, and with a task that no
+//! known target could ever run. Every other request is accepted, and [`super::giving_up`] ends its
+//! job when no target is found. A request for a job that is already known joins it and doesn't
+//! start it again.
 //!
 //! **Inputs.** The configuration, the request, how long the host still serves (ms) and how many
 //! jobs it has. **Trade-off.** An overload isn't detected here; see [`super::arrival`].
--- a/crates/dispatcher-core/src/targets/list.rs
+++ b/crates/dispatcher-core/src/targets/list.rs
@@ -116,6 +116,10 @@
         let usable_again = std::mem::take(&mut target.is_entry_unusable);
         let capacity = target.update_entry(now, entry);
         target.unlisted_since = None;
+        if !target.is_entry_current() {
+            // A listing shows which incarnation runs.
+            target.lease.next_renewal = now;
+        }
         self.unlisted.remove(&id);
         if leaves {
             self.record_target(&id, TargetState::Leaving, StateSource::List);
--- a/crates/dispatcher-core/src/targets/usable.rs
+++ b/crates/dispatcher-core/src/targets/usable.rs
@@ -130,8 +130,8 @@
     }
 
     /// Returns true if tasks may be started on a target: it wasn't removed from the list, its entry
-    /// is usable and current, neither it nor its hall is being drained, it answers and is healthy, its lease
-    /// lasts long enough, and it isn't to be released to another host.
+    /// is usable and current, neither it nor its hall is being drained, it answers and is healthy,
+    /// its lease lasts long enough, and it isn't to be released to another host.
     fn is_usable(&self, now: Millis, target: &Target) -> bool {
         // While the list isn't settled, the entry of a new incarnation may be missing for long.
         let is_settled = self.store.list_is_settled(now);
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -64,7 +64,7 @@
 
     fn report_list(&self, decoded: DecodedList) {
         if !decoded.faulty.is_empty() {
-            // See `report`.
+            // The core task ends only when the process does.
             let _ = self.tx.send(Message::FaultyEntries(decoded.faulty));
         }
         self.report(Event::Listed(decoded.list));
--- a/crates/entry/src/target_list.rs
+++ b/crates/entry/src/target_list.rs
@@ -1,4 +1,5 @@
-//! Decodes the platform's list of targets. An entry that can't be used costs itself alone.
+//! Decodes the platform's list of targets. An entry that can't be used doesn't affect
+//! the others.
 
 use std::net::SocketAddr;
 
