Restore reasons and figures that the wording of the code dropped

Put back is what tells a maintainer why a rule or a constant exists, or which fault it prevents. Comments only; formatting and rustdoc pass.

--- a/crates/dispatcher-core/src/rules/assignment.rs
+++ b/crates/dispatcher-core/src/rules/assignment.rs
@@ -5,7 +5,8 @@
 //! same assignment without messages, and a host that joins or leaves moves only its own targets.
 //!
 //! **Inputs.** The target's id and hall; the hosts that stay, with their weights in thousandths of
-//! a core. **Reason.** Without weights, small hosts would be overloaded while large ones are idle.
+//! a core. **Reason.** Without weights, with 43 hosts of 0.12 and 0.5 core, the small ones were
+//! overloaded while the large ones were idle.
 //! **Trade-off.** Hosts that know different hosts assign differently for a while; see
 //! [`crate::rules::contention`].
 
--- a/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
+++ b/crates/dispatcher-core/src/rules/heartbeat_intervals.rs
@@ -6,8 +6,10 @@
 //! with the number of hosts. Within a hall they don't become as rare as between halls, since hosts
 //! of one hall take over each other's targets, and hand each other tasks first.
 //!
-//! **Inputs.** [`Times`] in ms, the number of known peers. **Trade-off.** The death of a host
-//! without common attempts is detected later.
+//! **Inputs.** [`Times`] in ms, the number of known peers. **Reason.** With 43 hosts, heartbeats of
+//! all pairs at the interval of leases were 905,000 of 1.6 million messages in 10 s; with this rule
+//! they were 99,000. **Trade-off.** The death of a host without common attempts is detected later:
+//! among 43 hosts after 1.8 s instead of 0.55 s.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,7 +26,8 @@
 /// lower: those hold no targets of this hall, and their clock is requested before a task is handed
 /// over to one.
 const FAR_PEERS_PER_HEARTBEAT: usize = 3;
-/// The longest idle interval towards other halls, as a multiple of the heartbeat interval.
+/// The longest idle interval towards other halls, as a multiple of the heartbeat interval: 7 s with
+/// the users' bounds.
 const MAX_FAR_FACTOR: f64 = 50.0;
 /// With fewer peers, those of other halls get the same interval as those of the own hall, whose
 /// interval stops growing at this number.
@@ -36,7 +39,8 @@
 const DEAD_AFTER_OWNER_LEASES: Millis = 2;
 
 /// The time over which the first heartbeats to peers of other halls are spread, in ms, so that they
-/// don't delay a starting host's first targets.
+/// don't delay a starting host's first targets. With 146 peers at once, a host of 0.12 core held
+/// its first target 0.77 s after its start; with this, 0.58 s after.
 const FIRST_FAR_SPREAD_MS: Millis = 2_000;
 
 /// Returns how long the first heartbeat to a peer of another hall is delayed, in ms.
--- a/crates/dispatcher-core/src/rules/leases.rs
+++ b/crates/dispatcher-core/src/rules/leases.rs
@@ -17,6 +17,8 @@
 //!   have ended after owner lease, target lease and stop grace, and only then starts the tasks
 //!   again.
 //!
+//! The randomised runs in `crates/dispatcher-sim/tests/promises.rs` find the loss of each safeguard.
+//!
 //! **Inputs.** [`Bounds`], in ms. **Trade-off.** A task whose peer died waits for up to
 //! [`Times::lost_attempts_over_ms`] before it is started again.
 
@@ -35,7 +37,8 @@
 const HEARTBEATS_PER_OWNER_LEASE: Millis = 4;
 /// Renewals in one target lease: some may be late or lost.
 const RENEWALS_PER_TARGET_LEASE: Millis = 3;
-/// The longest time that a renewal waits at the target for the end of an attempt, in ms.
+/// The longest time that a renewal waits at the target for the end of an attempt, in ms: longer
+/// waits would save few calls.
 const MAX_LONG_POLL_MS: Millis = 150;
 /// The shortest owner lease that heartbeats over HTTP can renew, in ms.
 pub(crate) const MIN_OWNER_LEASE_MS: Millis = 100;
--- a/crates/dispatcher-core/src/rules/liveness.rs
+++ b/crates/dispatcher-core/src/rules/liveness.rs
@@ -17,14 +17,15 @@
 use crate::Millis;
 
 /// The time for which a host in the minority leaves targets to hosts that it no longer receives
-/// messages from, in ms.
+/// messages from, in ms. Without it, a host that was cut off took all 48 targets of its deployment
+/// and lost them one by one.
 const MINORITY_RETENTION_MS: Millis = 8_000;
 /// A task may be handed over while the peer's clock was received within the owner lease divided by
 /// this: the echo is then still valid when the next heartbeats arrive.
 const FRESH_CLOCK_DIVISOR: Millis = 2;
 
 /// The time for which a known host that hasn't answered yet may be alive, in ms: full links delay
-/// first answers.
+/// first answers by some 500 ms.
 const FIRST_REPLY_MS: Millis = 1_000;
 
 /// The contact with a peer; times in ms of this host's clock.
@@ -87,7 +88,8 @@
 
 /// Returns whether a host that became known at `learnt_at` and hasn't answered yet may be alive,
 /// and so keeps its targets. Otherwise a host that has just started with a full link, and has
-/// received no reply yet, would take the targets of all others.
+/// received no reply yet, would take the targets of all others: on links of 2 Mbit/s, hosts that
+/// were restarted in turn took 126 of 126 targets, and 687 attempts were lost.
 #[must_use]
 pub fn may_be_alive(now: Millis, learnt_at: Millis, contact: &PeerContact) -> bool {
     contact.acknowledged.is_none() && !contact.refused && learnt_at + FIRST_REPLY_MS > now
--- a/crates/dispatcher-core/src/rules/membership.rs
+++ b/crates/dispatcher-core/src/rules/membership.rs
@@ -7,7 +7,9 @@
 //! [`WHOLE_LIST_INTERVAL_MS`] whoever asks: one whole list from any peer is enough.
 //!
 //! **Inputs.** For how long the hashes have differed, in ms; whether the peer knows no other host;
-//! when the whole list was last sent. **Trade-off.** Hosts that missed an update learn of it some
+//! when the whole list was last sent. **Reason.** When 4 of 300 hosts restart in a second, each
+//! costs each other host 765 bytes of lists; with whole lists at every difference it was 3,415
+//! (`tests/membership.rs`, a network without delay). **Trade-off.** Hosts that missed an update learn of it some
 //! seconds later, if neither the store nor a third host reported it.
 
 use crate::Millis;
@@ -20,7 +22,8 @@
 /// The time after which differing hashes show that an update was missed, in ms: updates reach every
 /// host within one of the longest idle heartbeat intervals.
 const MISSED_UPDATE_MS: Millis = 8_000;
-/// The least time between whole lists that a host sends, in ms: bounds their load on a link.
+/// The least time between whole lists that a host sends, in ms: bounds their load on a link. The
+/// list of 147 hosts has some 12 KB.
 pub const WHOLE_LIST_INTERVAL_MS: Millis = 250;
 
 /// The hosts to send to a peer whose list differs.
--- a/crates/dispatcher-core/src/rules/mod.rs
+++ b/crates/dispatcher-core/src/rules/mod.rs
@@ -1,7 +1,8 @@
 //! The rules by which a host decides, one per file.
 //!
 //! Each file states one rule: the rule in words, its inputs with their units, the reason and the
-//! trade-off, then its constants and pure functions over small inputs. State is kept elsewhere
+//! trade-off, then its constants and pure functions over small inputs. Measurements behind them are
+//! in `docs/design/figures-moved-from-code.md` and `docs/MEASURES.md`. State is kept elsewhere
 //! (`crate::jobs`, `crate::targets`, `crate::peers`), which call these functions.
 //!
 //! | question | rule |
--- a/crates/dispatcher-core/src/rules/peer_choice.rs
+++ b/crates/dispatcher-core/src/rules/peer_choice.rs
@@ -8,8 +8,9 @@
 //! reserves them for the peer with the first demand, unless a task of its own goes before it.
 //!
 //! **Inputs.** Free resources by the last update less what was handed over since, priorities.
-//! **Reason.** If every host chose the freest peer, all would choose the same one; advertising to a
-//! few peers at limited intervals bounds the messages. **Trade-off.** A free peer among many may
+//! **Reason.** If every host chose the freest peer, all would choose the same one: with 43 hosts,
+//! 76,000 tasks were requested for 38,000 starts. Advertising to a few peers at limited intervals
+//! bounds the messages. **Trade-off.** A free peer among many may
 //! learn of a demand a round later.
 
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/dispatcher-core/src/targets/renewals.rs
+++ b/crates/dispatcher-core/src/targets/renewals.rs
@@ -96,7 +96,8 @@
 ///
 /// A new holder doesn't extend the lease of attempts that it finds, nor of its own attempts until
 /// it knows what other hosts run beside them. Each renewal to a silent target may have arrived, so
-/// that extending its lease would delay the time at which its attempts have ended for certain.
+/// that extending its lease would delay the time at which its attempts have ended for certain
+/// (`tests/target_leases.rs`).
 ///
 /// After a call without reply the target may have restarted with a new clock. It would then take a
 /// time on its previous clock for the longest lease that it grants. Guards against a holder that
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -34,11 +34,13 @@
 /// The longest time to set up a connection to a target, a peer or the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The share of the link that one long body may use, such as a whole configuration; the rest
-/// is left to heartbeats, renewals and callers.
+/// is left to heartbeats, renewals and callers. A configuration of 1,500 routes, some 350 KB, takes
+/// 2.3 s at 2 Mbit/s, of the 4 s in which hosts have to apply it.
 const LONG_BODY_SHARE: f64 = 0.6;
 /// Once a peer's reply is outstanding for this long, other calls to it open new connections:
 /// peers reply at once. Short enough for another heartbeat to arrive within an owner lease
-/// (`rules/leases.rs`) after one was lost with its connection.
+/// (`rules/leases.rs`) after one was lost with its connection: of 553 ms with the users' bounds, a
+/// lost heartbeat and the next one on another dead connection take 276 ms.
 const PEER_SUSPECT_AFTER: Duration = Duration::from_millis(100);
 
 /// Runs a host's process until it has shut down gracefully.
--- a/crates/dispatcher/src/store_pace.rs
+++ b/crates/dispatcher/src/store_pace.rs
@@ -15,7 +15,7 @@
 const MAX_PAUSE_MS: Millis = 750;
 /// The longest time that one answer of the store should occupy the host's link. Replies of
 /// targets queue behind it; on a slow link they would time out, and their targets would count
-/// as silent.
+/// as silent. At 2 Mbit/s the changes of 750 ms among 126 targets, 28 KB, take 113 ms.
 const MAX_LINK_TIME_MS: f64 = 20.0;
 /// The shortest pause between reads of the table of targets on a slow link; shorter ones only
 /// add calls.
--- a/crates/dispatcher/src/store_task.rs
+++ b/crates/dispatcher/src/store_task.rs
@@ -2,7 +2,8 @@
 //!
 //! A table is read whole first, then by its changes with long polls: the store may wait for a
 //! change before it answers. It is read whole again if its changes can't be read. After a
-//! failed read the store isn't allowed to wait, so that its recovery is noticed at once, and
+//! failed read the store isn't allowed to wait, so that its recovery is noticed at once (with
+//! waits at a silent store, a version came into force 4.9 s after its acknowledgement), and
 //! reads are retried after a growing pause. [`crate::store_pace`] sets the pauses between
 //! successful reads. Tables aren't read while peers report the store's changes.
 
