--- a/crates/dispatcher-core/src/rules/admission.rs
+++ b/crates/dispatcher-core/src/rules/admission.rs
@@ -9,7 +9,8 @@
 //!
 //! **Inputs.** The configuration, the request, how long the host still serves (ms) and how many
 //! jobs it has. **Reason.** Stopping hosts that accept what they can still end, instead of nothing,
-//! refused 64 instead of 169 jobs of a day. **Trade-off.** An overload isn't detected here; see [`super::arrival`].
+//! refused 64 instead of 169 jobs of a day. **Trade-off.** An overload isn't detected here; see
+//! [`super::arrival`].
 
 use gannetridge_wire::Name;
 
--- a/crates/dispatcher-core/src/rules/assignment.rs
+++ b/crates/dispatcher-core/src/rules/assignment.rs
@@ -6,9 +6,8 @@
 //!
 //! **Inputs.** The target's id and hall; the hosts that stay, with their weights in thousandths of
 //! a core. **Reason.** Without weights, with 43 hosts of 0.12 and 0.5 core, the small ones were
-//! overloaded while the large ones were idle.
-//! **Trade-off.** Hosts that know different hosts assign differently for a while; see
-//! [`crate::rules::contention`].
+//! overloaded while the large ones were idle. **Trade-off.** Hosts that know different hosts assign
+//! differently for a while; see [`crate::rules::contention`].
 
 use std::collections::BTreeMap;
 
--- a/crates/dispatcher-core/src/rules/draining.rs
+++ b/crates/dispatcher-core/src/rules/draining.rs
@@ -9,9 +9,9 @@
 //!
 //! **Inputs.** The draining halls and the store's version at which they were read, from the store
 //! or from another host. **Reason.** While one of three halls drained for 8 s, 2,515 starts came
-//! later than allowed without this rule. **Trade-off.** A host that knows nothing yet, because neither the store
-//! nor a peer is reachable, treats no hall as draining: otherwise the loss of the store would stop
-//! the deployment.
+//! later than allowed without this rule. **Trade-off.** A host that knows nothing yet, because
+//! neither the store nor a peer is reachable, treats no hall as draining: otherwise the loss of the
+//! store would stop the deployment.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/dispatcher-core/src/rules/leases.rs
+++ b/crates/dispatcher-core/src/rules/leases.rs
@@ -17,7 +17,7 @@
 //!   have ended after owner lease, target lease and stop grace, and only then starts the tasks
 //!   again.
 //!
-//! The randomised runs in `crates/dispatcher-sim/tests/promises.rs` find the loss of each safeguard.
+//! `crates/dispatcher-sim/tests/promises.rs` shows that its runs find the loss of each safeguard.
 //!
 //! **Inputs.** [`Bounds`], in ms. **Trade-off.** A task whose peer died waits for up to
 //! [`Times::lost_attempts_over_ms`] before it is started again.
--- a/crates/dispatcher-core/src/rules/membership.rs
+++ b/crates/dispatcher-core/src/rules/membership.rs
@@ -9,8 +9,8 @@
 //! **Inputs.** For how long the hashes have differed, in ms; whether the peer knows no other host;
 //! when the whole list was last sent. **Reason.** When 4 of 300 hosts restart in a second, each
 //! costs each other host 765 bytes of lists; with whole lists at every difference it was 3,415
-//! (`tests/membership.rs`, a network without delay). **Trade-off.** Hosts that missed an update learn of it some
-//! seconds later, if neither the store nor a third host reported it.
+//! (`tests/membership.rs`, a network without delay). **Trade-off.** Hosts that missed an update
+//! learn of it some seconds later, if neither the store nor a third host reported it.
 
 use crate::Millis;
 
--- a/crates/dispatcher-core/src/rules/store_readers.rs
+++ b/crates/dispatcher-core/src/rules/store_readers.rs
@@ -8,11 +8,11 @@
 //! read more than necessary.
 //!
 //! **Inputs.** The hosts of the hall that stay; `drain-ms`, within which a leaving target has to be
-//! known and of which all times here are fractions; the age in ms of the known state.
-//! **Reason.** With 147 hosts and 1,100 targets, together with rarer heartbeats and shorter listings,
-//! 0.084 GB instead of 1.146 GB were read from the store in 4,511 instead of 22,168 calls.
-//! **Trade-off.** A change takes a round between two hosts longer, half a second at most; a reader that falls silent costs
-//! its hall [`Freshness::stale_after_ms`] until its hosts read.
+//! known and of which all times here are fractions; the age in ms of the known state. **Reason.**
+//! With 147 hosts and 1,100 targets, together with rarer heartbeats and shorter listings, 0.084 GB
+//! instead of 1.146 GB were read from the store in 4,511 instead of 22,168 calls. **Trade-off.** A
+//! change takes a round between two hosts longer, half a second at most; a reader that falls silent
+//! costs its hall [`Freshness::stale_after_ms`] until its hosts read.
 
 use gannetridge_wire::Name;
 use xxhash_rust::xxh3::xxh3_64;
