Keep an unreadable document from blocking the entry hosts' configuration

One document's row that can't be decoded kept every later version of the configuration out of force at entry hosts, and each change of it unanswered.

Cause: the rows were decoded as one set. The last readable version of such a document now stays in force and the others come into force; it is logged with its key and counted in faulty_documents_total. An operator can replace it.

--- a/crates/entry-core/src/action.rs
+++ b/crates/entry-core/src/action.rs
@@ -95,6 +95,11 @@
         /// The shard's index within the hall.
         shard: u16,
     },
+    /// The row of a document can't be decoded.
+    FaultyDocument {
+        /// The document's key.
+        key: Name,
+    },
     /// A configuration came into force.
     ConfigInForce {
         /// The configuration's version.
--- a/crates/entry-core/src/host/config_changes.rs
+++ b/crates/entry-core/src/host/config_changes.rs
@@ -90,7 +90,7 @@
         let Some(read) = read_rows(&rows) else {
             return self.retry_change(key, ChangeEvent::NotDone);
         };
-        self.apply_config(read.snapshot.clone());
+        self.apply_rows_of_config(&read);
         let Some(change) = self.changes.pending.get(&key) else {
             return;
         };
@@ -146,7 +146,7 @@
             changes,
         };
         if let Some(change) = self.changes.pending.get_mut(&key) {
-            change.written = read.snapshot.with_doc(doc.clone());
+            change.written = read.completed(self.config.snapshot()).with_doc(doc.clone());
         }
         let doc_row = read.doc_rows.iter().find(|(n, _)| *n == name);
         let check = |key: Name, version| Check { key, version };
--- a/crates/entry-core/src/host/sync.rs
+++ b/crates/entry-core/src/host/sync.rs
@@ -6,7 +6,7 @@
 use gannetridge_wire::Name;
 
 use super::calls::CallPurpose;
-use super::config_rows::{read_rows, Head};
+use super::config_rows::{read_rows, ConfigRows, Head};
 use super::Host;
 use crate::action::{Action, TelemetryEvent};
 use crate::config_store::CONFIG_PREFIX;
@@ -36,10 +36,21 @@
             return;
         };
         if let Some(read) = read_rows(&rows) {
-            self.apply_config(read.snapshot);
+            self.apply_rows_of_config(&read);
         }
     }
 
+    /// Applies the configuration in the table. The last readable version of a document stays in
+    /// force.
+    pub(super) fn apply_rows_of_config(&mut self, read: &ConfigRows) {
+        let is_newer = read.snapshot.version > self.config.version();
+        for key in read.faulty.iter().filter(|_| is_newer) {
+            let key = key.clone();
+            self.record(TelemetryEvent::FaultyDocument { key });
+        }
+        self.apply_config(read.completed(self.config.snapshot()));
+    }
+
     /// Applies a configuration if it is newer than the one in force.
     pub(super) fn apply_config(&mut self, snapshot: ConfigSnapshot) {
         let before = self.config.version();
--- a/crates/entry-sim/src/perform.rs
+++ b/crates/entry-sim/src/perform.rs
@@ -94,6 +94,7 @@
         match event {
             TelemetryEvent::Wasted(WastedMessage::Resubmitted)
             | TelemetryEvent::Finished { .. }
+            | TelemetryEvent::FaultyDocument { .. }
             | TelemetryEvent::Refused { .. } => {}
             TelemetryEvent::Wasted(waste) => {
                 if self.is_measured() {
--- a/crates/entry/src/core_task.rs
+++ b/crates/entry/src/core_task.rs
@@ -234,6 +234,7 @@
         TelemetryEvent::Wasted(waste) => debug!(kind = waste.as_str(), "message wasted"),
         TelemetryEvent::ShardAcquired { shard, epoch } => info!(shard, epoch, "shard acquired"),
         TelemetryEvent::ShardReleased { shard } => info!(shard, "shard released"),
+        TelemetryEvent::FaultyDocument { key } => warn!(%key, "a document can't be decoded"),
         TelemetryEvent::ConfigInForce { version } => info!(version, "configuration took effect"),
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -24,6 +24,7 @@
     wasted: Counter<u64>,
     starts: Counter<u64>,
     faulty_entries: Counter<u64>,
+    faulty_documents: Counter<u64>,
     shards: Gauge<u64>,
     config_version: Gauge<u64>,
     jobs: Gauge<u64>,
@@ -66,6 +67,10 @@
                 "faulty_entries",
                 "Entries in the list of targets that can't be used",
             ),
+            faulty_documents: counter(
+                "faulty_documents",
+                "Documents of a new configuration that can't be decoded",
+            ),
             shards: gauge("shards_held", "Shards that this host holds"),
             config_version: gauge("config_version", "Version of the configuration in force"),
             jobs: gauge("jobs_running", "Jobs that this host runs"),
@@ -112,6 +117,7 @@
             TelemetryEvent::Wasted(waste) => {
                 self.wasted.add(1, &[KeyValue::new("kind", waste.as_str())]);
             }
+            TelemetryEvent::FaultyDocument { .. } => self.faulty_documents.add(1, &[]),
             TelemetryEvent::ShardAcquired { .. }
             | TelemetryEvent::ShardReleased { .. }
             | TelemetryEvent::ConfigInForce { .. } => {}
