--- a/crates/entry-core/src/host/config_changes.rs
+++ b/crates/entry-core/src/host/config_changes.rs
@@ -90,7 +90,7 @@
         let Some(read) = read_rows(&rows) else {
             return self.retry_change(key, ChangeEvent::NotDone);
         };
-        self.apply_rows_of_config(&read);
+        self.apply_config_rows(&read);
         let Some(change) = self.changes.pending.get(&key) else {
             return;
         };
--- a/crates/entry-core/src/host/sync.rs
+++ b/crates/entry-core/src/host/sync.rs
@@ -36,13 +36,13 @@
             return;
         };
         if let Some(read) = read_rows(&rows) {
-            self.apply_rows_of_config(&read);
+            self.apply_config_rows(&read);
         }
     }
 
     /// Applies the configuration in the table. The last readable version of a document stays in
     /// force.
-    pub(super) fn apply_rows_of_config(&mut self, read: &ConfigRows) {
+    pub(super) fn apply_config_rows(&mut self, read: &ConfigRows) {
         let is_newer = read.snapshot.version > self.config.version();
         for key in read.faulty.iter().filter(|_| is_newer) {
             let key = key.clone();
