--- a/crates/dispatcher-core/src/configuration.rs
+++ b/crates/dispatcher-core/src/configuration.rs
@@ -107,6 +107,9 @@
     /// virtual host `host`.
     #[must_use]
     pub fn is_unusable(&self, host: &str, path: &str) -> bool {
+        if self.unusable.is_empty() {
+            return false;
+        }
         let unusable = self.unusable.iter();
         let readable = unusable.filter(|queue| !queue.host.is_empty() && !queue.prefix.is_empty());
         let addressed =
