--- a/crates/dispatcher-core/src/rules/contention.rs
+++ b/crates/dispatcher-core/src/rules/contention.rs
@@ -19,7 +19,7 @@
 
 /// A host that held a target for this long takes it back, in ms.
 const MIN_HELD_MS: Millis = 3_000;
-/// How many times a token that was too low is raised at once. Backing off instead left a fifth of
+/// How many times a token that was too low is raised at once. Backing off instead leaves a fifth of
 /// the targets idle in an overload.
 const MAX_TOKEN_RAISES: u32 = 4;
 /// The first raise of a token that was too low, in ms of the clock that tokens follow; doubles with
