Unblock the tasks of a job in time that grows with its size alone

A single job inside the limits kept a host from answering anyone for longer than the tests wait (30 s): one step, and a second one of 1,900 tasks that names the first one 100,000 times in `after`, a body of 200 KB. Once the first task was done, each name of each task was compared with the step of each open task.

Whether a step is open is now determined once, and whether its names are done once for each step. The first task of a step is found by its position, and the search for waiting tasks ends at its limit instead of listing whole jobs first.

--- a/crates/dispatcher-core/src/jobs/job.rs
+++ b/crates/dispatcher-core/src/jobs/job.rs
@@ -183,7 +183,10 @@
 
     /// Returns the position of a step's first task in the job.
     pub(super) fn first_task_of(&self, step: usize) -> Option<usize> {
-        self.tasks.iter().position(|task| task.step == step)
+        // Tasks are in the order of their steps.
+        let first = self.tasks.partition_point(|task| task.step < step);
+        let has_task = self.tasks.get(first).is_some_and(|task| task.step == step);
+        has_task.then_some(first)
     }
 
     /// Returns the earliest time at which a tick may change the job: with waiting tasks, at
@@ -202,19 +205,25 @@
 
     /// Moves blocked tasks to waiting once the steps on which they depend are done.
     pub(super) fn unblock_tasks(&mut self) {
-        let open = self.tasks.iter();
-        let open: Vec<usize> = open
-            .filter(|task| task.state != TaskState::Done)
-            .map(|task| task.step)
-            .collect();
+        let ready = self.ready_steps();
         for task in &mut self.tasks {
-            let after = &self.spec.steps[task.step].after;
-            let ready = !after.iter().any(|step| open.contains(step));
-            if task.state == TaskState::Blocked && ready {
+            if task.state == TaskState::Blocked && ready[task.step] {
                 task.state = TaskState::Waiting;
             }
         }
     }
+
+    /// Returns, for each step, whether the steps on which it depends are done.
+    fn ready_steps(&self) -> Vec<bool> {
+        let mut is_open = vec![false; self.spec.steps.len()];
+        for task in &self.tasks {
+            is_open[task.step] |= task.state != TaskState::Done;
+        }
+        let steps = self.spec.steps.iter();
+        steps
+            .map(|step| !step.after.iter().any(|earlier| is_open[*earlier]))
+            .collect()
+    }
 }
 
 /// Sort key of a job with waiting tasks; the least goes first.
--- a/crates/dispatcher-core/src/jobs/waiting.rs
+++ b/crates/dispatcher-core/src/jobs/waiting.rs
@@ -88,6 +88,9 @@
                 slack_ms: key.latest_start - now as i64,
             };
             for (index, task) in job.tasks.iter().enumerate() {
+                if waiting.len() == limit {
+                    return waiting;
+                }
                 if task.state == TaskState::Waiting {
                     waiting.push(WaitingTask {
                         job: key.job.clone(),
@@ -103,10 +106,6 @@
                     });
                 }
             }
-            if waiting.len() >= limit {
-                waiting.truncate(limit);
-                break;
-            }
         }
         waiting
     }
