Limit the attempts and the unconfirmed starts at one target

Tasks that take nothing of a target fit it in any number: jobs of 2,000 tasks without `cpu` started all at once, each start with a connection of its own. Twenty callers took a host to 2,048 descriptors and 57 MB of the 48 that its test allows; no descriptor was left for readiness and for other callers.

A target now has 1,024 attempts at most, of which 32 may be unconfirmed; further tasks wait. On a target with 64 cores, tasks of a sixteenth of a core don't reach the first limit.

The new test at the core counts 32 starts, 500 before.

--- a/crates/dispatcher-core/src/targets/target.rs
+++ b/crates/dispatcher-core/src/targets/target.rs
@@ -21,6 +21,11 @@
 use super::lease::{Lease, LeaseStage};
 use super::REPLY_TIMEOUT_MS;
 
+/// The most attempts on one target.
+const MAX_ATTEMPTS: usize = 1_024;
+/// The most starts at one target that it hasn't confirmed: each takes a connection.
+const MAX_UNCONFIRMED_STARTS: usize = 32;
+
 /// A reading of a target's clock, and when it was received on this host's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -173,7 +178,19 @@
             let same_step = attempts.filter(|attempt| attempt.counts_towards(limit));
             same_step.count() < limit.max_tasks as usize
         });
-        is_within_spread && !self.is_quarantined() && self.free().fits(&order.resources)
+        let is_free = self.free().fits(&order.resources);
+        is_free && is_within_spread && !self.is_quarantined() && self.takes_another_attempt()
+    }
+
+    /// Returns false while there are so many attempts, or starts without a reply, that tasks which
+    /// take hardly any resources would take up the host's memory and descriptors.
+    fn takes_another_attempt(&self) -> bool {
+        if self.attempts.len() < MAX_UNCONFIRMED_STARTS {
+            return true;
+        }
+        let attempts = self.attempts.values();
+        let unconfirmed = attempts.filter(|attempt| attempt.confirmed.is_none());
+        self.attempts.len() < MAX_ATTEMPTS && unconfirmed.count() < MAX_UNCONFIRMED_STARTS
     }
 
     /// Returns the cost of running a task here; see [`target_choice::cost`].
--- a/crates/dispatcher-core/tests/large_jobs.rs
+++ b/crates/dispatcher-core/tests/large_jobs.rs
@@ -28,3 +28,13 @@
     rig.advance(10);
     assert_eq!(rig.starts().len(), 1);
 });
+
+// Guards against tasks that take nothing of a target, and start all at once.
+case!(unconfirmed_starts_at_one_target_are_limited, {
+    let mut rig = Rig::holding_targets(&[target("t", 16)]);
+    rig.submit(1, "0000000000000001", vec![step(500, 0, 50)], 60_000);
+    rig.advance(10);
+    rig.idle_targets_answer();
+    rig.advance(50);
+    assert_eq!(rig.starts().len(), 32);
+});
