--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -25,6 +25,7 @@
 use crate::rules::arrival::ArrivingJob;
 use crate::rules::giving_up::refused_when_full;
 use crate::settings::Safeguards;
+use crate::spec::MAX_ESTIMATE_MS;
 use crate::Millis;
 
 use crashes::CrashedTasks;
@@ -203,6 +204,7 @@
             version,
         } = checked;
         let deadline_ms = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+        let deadline_ms = deadline_ms.min(MAX_ESTIMATE_MS);
         let chain_ms = submit.spec.chain_ms();
         let objective_ms = queue.latency_objective(chain_ms);
         let next = self.next_attempts.get(&id).map_or(1, |next| next.value);
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -13,8 +13,8 @@
 /// The longest specification, in bytes; a bound of the platform.
 pub const MAX_SPECIFICATION_BYTES: usize = 4_000;
 
-/// The upper bound of an estimated running time, in ms: keeps sums of many estimates from
-/// overflowing a time.
+/// The upper bound of an estimated running time and of a caller's deadline, in ms: keeps sums of
+/// many estimates from overflowing a time.
 pub const MAX_ESTIMATE_MS: Millis = 86_400_000;
 
 /// Amounts of resources: the capacity of a target, its free part, or the need of a task.
