--- a/crates/dispatcher/src/decision_log.rs
+++ b/crates/dispatcher/src/decision_log.rs
@@ -5,6 +5,7 @@
 //! modules that cause them.
 
 use gannetridge_dispatcher_core::Decision;
+use gannetridge_process::text::shorten;
 use tracing::info;
 
 /// Writes one log line for a decision.
@@ -27,7 +28,10 @@
             path,
             reason,
             version,
-        } => info!(event = "job-rejected", %path, reason = reason.as_str(), version),
+        } => {
+            let path = shorten(path);
+            info!(event = "job-rejected", %path, reason = reason.as_str(), version);
+        }
         Decision::JobForecast {
             job,
             queue,
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,5 +1,6 @@
 //! Code that the dispatcher, the entry hosts and their tools share: settings files, exit
-//! codes, metrics, and requests to the task that owns a program's state.
+//! codes, metrics, texts from clients, and requests to the task that owns a
+//! program's state.
 //!
 //! It contains no scheduling logic.
 
@@ -7,3 +8,4 @@
 pub mod metrics;
 pub mod settings;
 pub mod start;
+pub mod text;
