Limit the memory of the jobs in progress

The dispatcher now counts what the jobs in progress take, as their descriptions tell, and refuses a job beyond the limit like one beyond 2,000: 503 `not-run`, to come back after 3 s. Both refusals are logged and counted, as `job-rejected` with the reason `full`; before, nothing told of them. A request for a job that is in progress needs no memory.

--- a/crates/dispatcher-core/src/decision/texts.rs
+++ b/crates/dispatcher-core/src/decision/texts.rs
@@ -72,6 +72,8 @@
         UnusableQueue = "unusable queue",
         /// The job's description is invalid or uses an unsupported feature.
         BadJob = "bad job",
+        /// The host has too many jobs, or no memory for this one.
+        Full = "full",
         /// The host is shutting down and stops before the job's latency objective.
         Stopping = "stopping",
     }
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -144,6 +144,11 @@
         self.configuration.is_some() && self.stopping.is_none()
     }
 
+    /// Limits the memory of the jobs in progress, in bytes.
+    pub fn limit_job_memory(&mut self, bytes: usize) {
+        self.jobs.limit_memory(bytes);
+    }
+
     /// Returns the version of the configuration in force, 0 for none.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/crates/dispatcher-core/src/jobs/ending.rs
+++ b/crates/dispatcher-core/src/jobs/ending.rs
@@ -163,6 +163,7 @@
 
     fn end_with(&mut self, now: Millis, id: &Name, cause: EndCause, answer: Answer) {
         let job = self.jobs.remove(id).expect("the job is known");
+        self.memory.used -= job.bytes;
         if let Some(key) = &job.ready_key {
             self.ready.remove(key);
         }
--- a/crates/dispatcher-core/src/jobs/job.rs
+++ b/crates/dispatcher-core/src/jobs/job.rs
@@ -103,6 +103,8 @@
 /// A job in progress; times in ms of this host's clock.
 #[derive(Debug)]
 pub(super) struct Job {
+    /// The memory that was counted for it.
+    pub(super) bytes: usize,
     pub(super) queue: Queue,
     pub(super) spec: JobSpec,
     /// The requests that wait for its answer.
--- a/crates/dispatcher-core/src/jobs/mod.rs
+++ b/crates/dispatcher-core/src/jobs/mod.rs
@@ -18,14 +18,14 @@
 
 use crate::action::{Action, Answer};
 use crate::configuration::Queue;
-use crate::decision::Decision;
+use crate::decision::{Decision, Rejection};
 use crate::event::{RequestId, Submit};
 use crate::message::AttemptId;
 use crate::rules::admission::MAX_JOBS;
 use crate::rules::arrival::ArrivingJob;
 use crate::rules::giving_up::refused_when_full;
 use crate::settings::Safeguards;
-use crate::spec::MAX_ESTIMATE_MS;
+use crate::spec::{JobSpec, MAX_ESTIMATE_MS};
 use crate::Millis;
 
 use crashes::CrashedTasks;
@@ -73,6 +73,28 @@
     pub id: AttemptId,
 }
 
+/// The memory of the jobs in progress, in bytes, about.
+#[derive(Debug)]
+struct JobMemory {
+    used: usize,
+    limit: usize,
+}
+
+impl Default for JobMemory {
+    fn default() -> Self {
+        Self {
+            used: 0,
+            limit: usize::MAX,
+        }
+    }
+}
+
+impl JobMemory {
+    fn has_room_for(&self, bytes: usize) -> bool {
+        bytes <= self.limit.saturating_sub(self.used)
+    }
+}
+
 /// The jobs that this host owns.
 #[derive(Default)]
 pub struct Jobs {
@@ -88,6 +110,7 @@
     /// higher than all numbers used before.
     next_attempts: BTreeMap<Name, Remembered<u32>>,
     crashed: CrashedTasks,
+    memory: JobMemory,
     stops: Vec<AttemptToStop>,
     actions: Vec<Action>,
 }
@@ -102,6 +125,11 @@
         }
     }
 
+    /// Limits the memory of the jobs in progress, in bytes; it is unlimited before.
+    pub fn limit_memory(&mut self, bytes: usize) {
+        self.memory.limit = bytes;
+    }
+
     /// Returns the number of jobs in progress.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -187,14 +215,30 @@
         } else if let Some(job) = self.jobs.get_mut(&id) {
             job.request_ids.push(request_id);
             self.by_request.insert(request_id, id);
-        } else if self.jobs.len() >= MAX_JOBS {
-            let answer = refused_when_full();
-            self.actions.push(Action::Answer { request_id, answer });
+        } else if self.is_full(&checked.submit.spec) {
+            self.refuse_when_full(checked);
         } else {
             self.accept(now, checked);
         }
     }
 
+    /// Returns whether the host has too many jobs, or no memory for a job like this.
+    fn is_full(&self, spec: &JobSpec) -> bool {
+        self.jobs.len() >= MAX_JOBS || !self.memory.has_room_for(spec.job_bytes())
+    }
+
+    fn refuse_when_full(&mut self, checked: CheckedSubmission<'_>) {
+        self.actions.push(Action::Record(Decision::JobRejected {
+            path: checked.submit.path,
+            reason: Rejection::Full,
+            version: checked.version,
+        }));
+        self.actions.push(Action::Answer {
+            request_id: checked.request_id,
+            answer: refused_when_full(),
+        });
+    }
+
     fn accept(&mut self, now: Millis, checked: CheckedSubmission<'_>) {
         let CheckedSubmission {
             request_id,
@@ -205,6 +249,8 @@
         } = checked;
         let deadline_ms = submit.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let deadline_ms = deadline_ms.min(MAX_ESTIMATE_MS);
+        let bytes = submit.spec.job_bytes();
+        self.memory.used += bytes;
         let chain_ms = submit.spec.chain_ms();
         let objective_ms = queue.latency_objective(chain_ms);
         let next = self.next_attempts.get(&id).map_or(1, |next| next.value);
@@ -225,6 +271,7 @@
             version,
         }));
         let mut job = Job {
+            bytes,
             queue: queue.clone(),
             spec: submit.spec,
             request_ids: vec![request_id],
--- a/crates/dispatcher-core/src/rules/admission.rs
+++ b/crates/dispatcher-core/src/rules/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! **Rule.** A request that certainly can't be served is rejected at once: without a configuration,
 //! for an unknown or unusable queue, with an invalid or unsupported description, at a host that
-//! shuts down before the job's objective, at a host with [`MAX_JOBS`] jobs, and with a task that no
-//! known target could ever run. Every other request is accepted, and [`super::giving_up`] ends its
+//! shuts down before the job's objective, at a host with [`MAX_JOBS`] jobs or without memory for one
+//! more, and with a task that no known target could ever run. Every other request is accepted, and [`super::giving_up`] ends its
 //! job when no target is found. A request for a job that is already known joins it and doesn't
 //! start it again.
 //!
--- a/crates/dispatcher-core/src/spec.rs
+++ b/crates/dispatcher-core/src/spec.rs
@@ -1,6 +1,7 @@
 //! Job descriptions of callers, and the checks that need nothing but the description.
 
 use std::fmt;
+use std::mem::size_of;
 
 use gannetridge_wire::Name;
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,11 @@
 /// many estimates from overflowing a time.
 pub const MAX_ESTIMATE_MS: Millis = 86_400_000;
 
+/// The memory of a job in progress besides its description and its tasks, in bytes, about.
+const JOB_BYTES: usize = 1_024;
+/// The memory of a task of a job in progress, in bytes, about.
+const TASK_BYTES: usize = 160;
+
 /// Amounts of resources: the capacity of a target, its free part, or the need of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
@@ -130,6 +136,15 @@
     pub unsupported: Option<Feature>,
 }
 
+impl StepSpec {
+    /// Returns the memory of the description, in bytes, about.
+    fn bytes(&self) -> usize {
+        let names = [&self.requirement, &self.rack].into_iter().flatten();
+        let names: usize = names.map(|name| name.len()).sum();
+        size_of::<Self>() + names + self.after.len() * size_of::<usize>()
+    }
+}
+
 /// A job as its caller describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobSpec {
@@ -189,6 +204,21 @@
         work.sum()
     }
 
+    /// Returns the memory of the description, in bytes, about.
+    #[must_use]
+    pub fn description_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::bytes);
+        self.specification.len() + steps.sum::<usize>()
+    }
+
+    /// Returns the memory of a job in progress with this description, in bytes, about.
+    #[must_use]
+    pub fn job_bytes(&self) -> usize {
+        let tasks: usize = self.steps.iter().map(|step| step.count as usize).sum();
+        let tasks_bytes = tasks.saturating_mul(TASK_BYTES);
+        tasks_bytes.saturating_add(JOB_BYTES + self.description_bytes())
+    }
+
     /// Limits the estimated running times to [`MAX_ESTIMATE_MS`].
     pub fn bound_estimates(&mut self) {
         for step in &mut self.steps {
