Read the limits of requests from the configuration

The configuration's `limits` name the longest head and body, and the times of a head and of an idle connection. They were read over, and callers had limits of the code: 16 MiB a body instead of 256 KiB, 60 s instead of 3 and 15.

They are decoded with the version, and hosts tell them to each other. Fields of a message go by position, so limits unlike these add a field that hosts of earlier releases can't decode; the usual ones leave the message as it was.

--- a/crates/dispatcher-core/src/configuration.rs
+++ b/crates/dispatcher-core/src/configuration.rs
@@ -6,7 +6,8 @@
 use std::collections::HashSet;
 
 use gannetridge_wire::Name;
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeStruct;
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::{Millis, Urgency};
 
@@ -72,8 +73,32 @@
     pub prefix: Name,
 }
 
+/// The limits of each request of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// The longest head, in bytes.
+    pub head_bytes: u64,
+    /// The longest body, in bytes.
+    pub body_bytes: u64,
+    /// The longest time from the first byte of a head to its last one, in ms.
+    pub head_timeout_ms: Millis,
+    /// The longest time that a connection stays open without a request, in ms.
+    pub idle_timeout_ms: Millis,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
 /// One complete version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct Configuration {
     /// The version number; it never decreases.
     pub version: u64,
@@ -81,8 +106,31 @@
     pub queues: Vec<Queue>,
     /// The queues whose configuration can't be used. Hosts of earlier releases can't decode a
     /// configuration with such queues.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub unusable: Vec<UnusableQueue>,
+    /// The limits of callers' requests. Hosts of earlier releases can't decode a configuration
+    /// with other limits than the default.
+    #[serde(default)]
+    pub limits: RequestLimits,
+}
+
+/// Leaves out trailing fields that have their default, as earlier releases expect it.
+impl Serialize for Configuration {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let with_limits = self.limits != RequestLimits::default();
+        let with_unusable = with_limits || !self.unusable.is_empty();
+        let fields = 2 + usize::from(with_unusable) + usize::from(with_limits);
+        let mut fields = serializer.serialize_struct("Configuration", fields)?;
+        fields.serialize_field("version", &self.version)?;
+        fields.serialize_field("queues", &self.queues)?;
+        if with_unusable {
+            fields.serialize_field("unusable", &self.unusable)?;
+        }
+        if with_limits {
+            fields.serialize_field("limits", &self.limits)?;
+        }
+        fields.end()
+    }
 }
 
 impl Configuration {
--- a/crates/dispatcher-core/src/dispatcher/mod.rs
+++ b/crates/dispatcher-core/src/dispatcher/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::action::Action;
 use crate::backlog::Backlog;
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, RequestLimits};
 use crate::decision::{ConfigurationSource, Decision, StoreReading};
 use crate::event::Event;
 use crate::jobs::Jobs;
@@ -144,6 +144,13 @@
         self.configuration.is_some() && self.stopping.is_none()
     }
 
+    /// Returns the limits of callers' requests; the defaults without a configuration.
+    #[must_use]
+    pub fn request_limits(&self) -> RequestLimits {
+        let configuration = self.configuration.as_ref();
+        configuration.map_or_else(RequestLimits::default, |current| current.limits)
+    }
+
     /// Limits the memory of the jobs in progress, in bytes.
     pub fn limit_job_memory(&mut self, bytes: usize) {
         self.jobs.limit_memory(bytes);
--- a/crates/dispatcher-core/tests/messages.rs
+++ b/crates/dispatcher-core/tests/messages.rs
@@ -3,7 +3,9 @@
 
 use std::fmt::Write;
 
-use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
+use gannetridge_dispatcher_core::configuration::{
+    Configuration, Queue, RequestLimits, UnusableQueue,
+};
 use gannetridge_dispatcher_core::event::{ProcessStartTime, TargetChange, TargetEntry};
 use gannetridge_dispatcher_core::message::{
     AttemptEnd, AttemptId, AttemptOutcome, CrashRecord, Demand, DrainingUpdate, EchoedClock,
@@ -183,6 +185,7 @@
             slack_ms: 120,
         }],
         unusable: Vec::new(),
+        limits: RequestLimits::default(),
     }
 }
 
@@ -248,6 +251,43 @@
     }
 }
 
+/// Declares tests, each with a name, a configuration and the number of its fields in a message.
+macro_rules! configurations {
+    ($($name:ident: $configuration:expr => $fields:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let sent: Configuration = $configuration;
+            let bytes = codec::encode(&sent).unwrap();
+            // A message follows the protocol version, which takes a byte.
+            assert_eq!(bytes[2], 0x90 + $fields, "a list of so many fields");
+            let received: Configuration = codec::decode(&bytes).unwrap();
+            assert_eq!(received, sent);
+        })+
+    };
+}
+
+fn tight_limits() -> RequestLimits {
+    RequestLimits {
+        body_bytes: 1_000,
+        ..RequestLimits::default()
+    }
+}
+
+// Hosts of earlier releases read a configuration whose last fields have their defaults.
+configurations! {
+    a_configuration_that_earlier_releases_read: configuration() => 2;
+    a_configuration_with_an_unusable_queue: Configuration {
+        unusable: vec![UnusableQueue::default()],
+        ..configuration()
+    } => 3;
+    a_configuration_with_limits: Configuration { limits: tight_limits(), ..configuration() } => 4;
+    a_configuration_with_both: Configuration {
+        unusable: vec![UnusableQueue::default()],
+        limits: tight_limits(),
+        ..configuration()
+    } => 4;
+}
+
 bytes! {
     request_beat: envelope(Request::Heartbeat(heartbeat()));
     request_without_echo: Envelope { echoed_clock: None, ..envelope(Request::Configuration) };
--- a/crates/dispatcher-core/tests/support/mod.rs
+++ b/crates/dispatcher-core/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A test rig around one [`Dispatcher`]: the test plays its targets, peers and callers.
 #![allow(dead_code)]
 
-use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
+use gannetridge_dispatcher_core::configuration::{Configuration, Queue, RequestLimits};
 use gannetridge_dispatcher_core::event::{
     ListedAttempt, ListedEnd, ListedOutcome, Submit, TargetEntry,
 };
@@ -86,6 +86,7 @@
             slack_ms: 60,
         }],
         unusable: Vec::new(),
+        limits: RequestLimits::default(),
     }
 }
 
--- a/crates/dispatcher-core/tests/unusable_queues.rs
+++ b/crates/dispatcher-core/tests/unusable_queues.rs
@@ -9,14 +9,14 @@
 /// Returns a host with an unusable queue below the usable one, and a usable one below that.
 fn host() -> Rig {
     let mut rig = Rig::holding_targets(&[target("t", 16)]);
-    let Configuration { mut queues, .. } = queues(2);
-    queues.push(Queue {
+    let mut listed = queues(2).queues;
+    listed.push(Queue {
         prefix: "/turns/odd/good/".into(),
-        ..queues[0].clone()
+        ..listed[0].clone()
     });
     rig.event(Event::ConfigurationRead(Configuration {
         version: 2,
-        queues,
+        queues: listed,
         unusable: vec![
             UnusableQueue {
                 name: "odd".into(),
@@ -25,6 +25,7 @@
             },
             UnusableQueue::default(),
         ],
+        ..queues(2)
     }));
     rig
 }
--- a/crates/dispatcher-sim/src/world/setup.rs
+++ b/crates/dispatcher-sim/src/world/setup.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
+use gannetridge_dispatcher_core::configuration::{Configuration, Queue, RequestLimits};
 use gannetridge_dispatcher_core::event::{ProcessStartTime, TargetEntry};
 use gannetridge_dispatcher_core::message::HostInfo;
 use gannetridge_dispatcher_core::spec::Resources;
@@ -133,5 +133,6 @@
             slack_ms: 60,
         }],
         unusable: Vec::new(),
+        limits: RequestLimits::default(),
     }
 }
--- a/crates/dispatcher-sim/tests/two_holders.rs
+++ b/crates/dispatcher-sim/tests/two_holders.rs
@@ -1,7 +1,7 @@
 //! Two hosts and one target, call by call: orders of events in which both hosts act as the holder
 //! of the target's lease.
 
-use gannetridge_dispatcher_core::configuration::{Configuration, Queue};
+use gannetridge_dispatcher_core::configuration::{Configuration, Queue, RequestLimits};
 use gannetridge_dispatcher_core::event::{ProcessStartTime, Submit, TargetEntry};
 use gannetridge_dispatcher_core::message::AttemptId;
 use gannetridge_dispatcher_core::spec::{JobSpec, Resources, StepSpec};
@@ -118,6 +118,7 @@
             version: 1,
             queues: vec![queue],
             unusable: Vec::new(),
+            limits: RequestLimits::default(),
         }),
     );
     host
