Bound what the clients of an entry host take together

`limits.memory-mb` and `limits.max-file-descriptors` tell what the machine allows, and are divided as on dispatcher hosts. A submission is counted until it is answered, also if its caller leaves, since its job goes on.

--- a/crates/entry-wire/src/submission.rs
+++ b/crates/entry-wire/src/submission.rs
@@ -1,8 +1,11 @@
 //! Submissions: jobs as callers send them.
 
 use std::collections::BTreeMap;
+use std::fmt;
+use std::mem::size_of;
 
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, MapAccess, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{SubmissionId, Time};
@@ -10,6 +13,8 @@
 
 /// The largest number of tasks in one submission.
 pub const MAX_TASKS: usize = 1_600;
+/// The largest number of parameters in one submission.
+pub const MAX_PARAMETERS: usize = 1_024;
 
 /// The value of a template's parameter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,9 +54,10 @@
     /// The template that describes this kind of job.
     pub template: Name,
     /// Parameter values; they take precedence over those of the account.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "bounded_parameters")]
     pub parameters: BTreeMap<String, ParameterValue>,
     /// The tasks, 1 to [`MAX_TASKS`].
+    #[serde(deserialize_with = "bounded_tasks")]
     pub tasks: Vec<TaskSpec>,
     /// How long after the id's creation the answer is still useful, in ms.
     pub deadline_ms: u64,
@@ -62,7 +68,78 @@
     pub attempt: u32,
 }
 
+/// Deserializes at most [`MAX_TASKS`] tasks.
+fn bounded_tasks<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<TaskSpec>, D::Error> {
+    deserializer.deserialize_seq(TasksVisitor)
+}
+
+struct TasksVisitor;
+
+impl<'de> Visitor<'de> for TasksVisitor {
+    type Value = Vec<TaskSpec>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of tasks")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Self::Value, A::Error> {
+        let mut tasks = Vec::new();
+        while let Some(task) = list.next_element()? {
+            if tasks.len() == MAX_TASKS {
+                let error = format_args!("a submission has {MAX_TASKS} tasks at most");
+                return Err(A::Error::custom(error));
+            }
+            tasks.push(task);
+        }
+        Ok(tasks)
+    }
+}
+
+/// Deserializes at most [`MAX_PARAMETERS`] parameters.
+fn bounded_parameters<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<BTreeMap<String, ParameterValue>, D::Error> {
+    deserializer.deserialize_map(ParametersVisitor)
+}
+
+struct ParametersVisitor;
+
+impl<'de> Visitor<'de> for ParametersVisitor {
+    type Value = BTreeMap<String, ParameterValue>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a table of parameters")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut table: A) -> Result<Self::Value, A::Error> {
+        let mut parameters = BTreeMap::new();
+        while let Some((key, value)) = table.next_entry()? {
+            if parameters.len() == MAX_PARAMETERS {
+                let error = format_args!("a submission has {MAX_PARAMETERS} parameters at most");
+                return Err(A::Error::custom(error));
+            }
+            parameters.insert(key, value);
+        }
+        Ok(parameters)
+    }
+}
+
 impl Submission {
+    /// Returns the memory of the submission, in bytes, about.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let inputs = self.tasks.iter().map(|task| task.input.len());
+        let tasks = inputs.map(|input| input + size_of::<TaskSpec>());
+        let parameters = self.parameters.iter().map(|(key, value)| {
+            let text = match value {
+                ParameterValue::Text(text) => text.len(),
+                ParameterValue::Bool(_) | ParameterValue::Int(_) | ParameterValue::Float(_) => 0,
+            };
+            key.len() + text + size_of::<(String, ParameterValue)>()
+        });
+        size_of::<Self>() + tasks.sum::<usize>() + parameters.sum::<usize>()
+    }
+
     /// Returns the time after which the caller has no use for an answer.
     #[must_use]
     pub fn deadline(&self) -> Time {
--- a/crates/entry/src/core_task.rs
+++ b/crates/entry/src/core_task.rs
@@ -8,6 +8,7 @@
 };
 use gannetridge_entry_wire::peer::{PeerReply, PeerRequest};
 use gannetridge_entry_wire::{Answer, Submission};
+use gannetridge_net::MemoryPermit;
 use gannetridge_wire::Name;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
@@ -27,7 +28,14 @@
 /// A message to the core task.
 pub enum Message {
     /// A caller's submission.
-    Submit(Box<Submission>, oneshot::Sender<Answer>),
+    Submit {
+        /// The submission as decoded.
+        submission: Box<Submission>,
+        /// Its memory, reserved until it is answered.
+        memory: MemoryPermit,
+        /// Receives the answer.
+        tx: oneshot::Sender<Answer>,
+    },
     /// A peer's request.
     Peer(Box<PeerRequest>, oneshot::Sender<PeerReply>),
     /// An operator's change.
@@ -45,7 +53,11 @@
 
 /// The channel for the reply to an open request.
 enum ReplyChannel {
-    Caller(oneshot::Sender<Answer>),
+    Caller {
+        tx: oneshot::Sender<Answer>,
+        /// Held until the answer, even if the caller disconnects: the job goes on.
+        _memory: MemoryPermit,
+    },
     Peer(oneshot::Sender<PeerReply>),
     Operator(oneshot::Sender<ChangeAnswer>),
 }
@@ -115,8 +127,15 @@
 
     fn on_message(&mut self, message: Message) {
         match message {
-            Message::Submit(submission, tx) => {
-                let token = self.register_request(ReplyChannel::Caller(tx));
+            Message::Submit {
+                submission,
+                memory,
+                tx,
+            } => {
+                let token = self.register_request(ReplyChannel::Caller {
+                    tx,
+                    _memory: memory,
+                });
                 let submission = *submission;
                 self.handle(Event::Submit { token, submission });
             }
@@ -169,7 +188,7 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Answer { token, answer } => {
-                if let Some(ReplyChannel::Caller(tx)) = self.open_requests.remove(&token) {
+                if let Some(ReplyChannel::Caller { tx, .. }) = self.open_requests.remove(&token) {
                     let _ = tx.send(answer);
                 }
             }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -12,8 +12,8 @@
 use gannetridge_entry::settings::Settings;
 use gannetridge_entry::{logging, peer_api, public_api};
 use gannetridge_entry_core::{Event, Host};
-use gannetridge_net::{runtime, serve, Client, ClientLimits};
-use gannetridge_process::start::{exit_code, listen};
+use gannetridge_net::{runtime, Client, ClientLimits, RefusalCounts, Server};
+use gannetridge_process::start::{exit_code, listen, listen_for_clients};
 use gumdrop::Options;
 use local_sync::mpsc::unbounded;
 use tracing::info;
@@ -51,24 +51,29 @@
 async fn run(settings: Settings) -> anyhow::Result<()> {
     // Both sockets are bound before the host takes any action: see `gannetridge_net::bind`.
     let peer_listener = listen(settings.peer_listen)?;
-    let listener = listen(settings.listen)?;
+    let listener = listen_for_clients(settings.listen)?;
     let clock = Clock::start()?;
     let host = Host::new(settings.host_settings(clock.now()), clock.now());
     let (tx, rx) = unbounded::channel();
     let client = Client::new(ClientLimits::default());
     let requests = RequestSender::new(client, settings.platform, tx.clone());
-    let core = CoreTask::new(host, clock, rx, requests, Metrics::new()?);
+    let refusals = RefusalCounts::default();
+    let core = CoreTask::new(host, clock, rx, requests, Metrics::new(refusals.clone())?);
 
     let peer_tx = tx.clone();
     let peer_limits = settings.limits.for_peers();
-    monoio::spawn(serve(peer_listener, peer_limits, move |req| {
+    let peer_server = Server::new(peer_limits.into(), refusals.of_server("peers"));
+    monoio::spawn(peer_server.serve(peer_listener, move |req| {
         peer_api::handle(peer_tx.clone(), req)
     }));
-    let caller_tx = tx.clone();
     let limits = settings.limits.for_callers();
-    monoio::spawn(serve(listener, limits, move |req| {
-        public_api::handle(caller_tx.clone(), req)
-    }));
+    let server = Server::new(limits.into(), refusals.of_server("callers"));
+    let cx = public_api::Context {
+        tx: tx.clone(),
+        memory: server.memory(),
+        refusals: refusals.of_server("callers"),
+    };
+    monoio::spawn(server.serve(listener, move |req| public_api::handle(cx.clone(), req)));
 
     let signal = monoio::utils::CtrlC::new().context("can't listen for signals")?;
     monoio::spawn(async move {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,7 +1,10 @@
 //! The host's metrics, served in the Prometheus text format.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
 use gannetridge_entry_core::{Host, TelemetryEvent};
-use gannetridge_net::HttpReply;
+use gannetridge_net::{HttpReply, RefusalCounts, RefusalKind};
 use gannetridge_process::metrics::{MetricsRegistry, TargetInfo};
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use opentelemetry::KeyValue;
@@ -29,6 +32,10 @@
     config_version: Gauge<u64>,
     jobs: Gauge<u64>,
     remembered: Gauge<u64>,
+    server_refusals: Counter<u64>,
+    refusal_counts: RefusalCounts,
+    /// The part of the counts that was added to the counter.
+    published_refusals: RefCell<BTreeMap<RefusalKind, u64>>,
 }
 
 impl Metrics {
@@ -37,7 +44,7 @@
     /// # Errors
     ///
     /// Returns an error if the registry can't be set up.
-    pub fn new() -> anyhow::Result<Self> {
+    pub fn new(refusal_counts: RefusalCounts) -> anyhow::Result<Self> {
         let registry = MetricsRegistry::new(TargetInfo::Included)?;
         let meter = registry.meter();
         let ratio = meter
@@ -75,6 +82,12 @@
             config_version: gauge("config_version", "Version of the configuration in force"),
             jobs: gauge("jobs_running", "Jobs that this host runs"),
             remembered: gauge("submissions_remembered", "Submissions in the ledger"),
+            server_refusals: counter(
+                "refused",
+                "Requests and connections that the servers refused, by address and reason",
+            ),
+            refusal_counts,
+            published_refusals: RefCell::default(),
             registry,
         })
     }
@@ -84,6 +97,22 @@
         self.faulty_entries.add(entries as u64, &[]);
     }
 
+    /// Adds what the servers refused since the last call to the exported counter.
+    pub fn publish_refusals(&self) {
+        let counts = self.refusal_counts.get();
+        let mut published = self.published_refusals.borrow_mut();
+        for (kind, count) in &counts {
+            let (server, refusal) = kind;
+            let labels = [
+                KeyValue::new("address", *server),
+                KeyValue::new("reason", refusal.as_str()),
+            ];
+            let new = count - published.get(kind).copied().unwrap_or(0);
+            self.server_refusals.add(new, &labels);
+        }
+        *published = counts;
+    }
+
     /// Counts a task start sent to a target.
     pub fn count_start(&self) {
         self.starts.add(1, &[]);
@@ -131,6 +160,7 @@
         self.config_version.record(host.config().version(), &[]);
         self.jobs.record(host.running_jobs() as u64, &[]);
         self.remembered.record(host.ledger_len() as u64, &[]);
+        self.publish_refusals();
     }
 
     /// Returns all metrics as an HTTP reply.
--- a/crates/entry/src/public_api.rs
+++ b/crates/entry/src/public_api.rs
@@ -2,8 +2,12 @@
 
 use gannetridge_entry_core::Host;
 use gannetridge_entry_wire::Submission;
-use gannetridge_net::{HttpReply, HttpRequest};
+use gannetridge_net::{
+    out_of_memory, HttpReply, HttpRequest, MemoryQuota, Refusal, ServerRefusals,
+    UNCOUNTED_BODY_BYTES,
+};
 use gannetridge_process::mailbox::ask;
+use gannetridge_process::text::shorten;
 use http::{Method, StatusCode};
 use serde::Serialize;
 use tracing::warn;
@@ -12,10 +16,22 @@
 use crate::metrics::Metrics;
 use crate::{operator_api, problem};
 
+/// What the requests of all clients share.
+#[derive(Clone)]
+pub struct Context {
+    /// Sends requests to the core task.
+    pub tx: MessageSender,
+    /// The memory of submissions without an answer so far.
+    pub memory: MemoryQuota,
+    /// Counts the submissions for which there is no memory.
+    pub refusals: ServerRefusals,
+}
+
 /// Routes a request by method and path, and handles it.
-pub async fn handle(tx: MessageSender, req: HttpRequest) -> HttpReply {
+pub async fn handle(cx: Context, req: HttpRequest) -> HttpReply {
+    let tx = cx.tx.clone();
     match (&req.method, req.path.as_str()) {
-        (&Method::POST, "/v1/submissions") => submit(tx, &req).await,
+        (&Method::POST, "/v1/submissions") => submit(cx, req).await,
         (&Method::GET, "/v1/status") => inspect(tx, status_reply).await,
         (&Method::GET, "/healthz") => HttpReply::new(StatusCode::OK, "text/plain", "ok\n"),
         (&Method::GET, "/readyz") => inspect(tx, readiness_reply).await,
@@ -33,15 +49,33 @@
     }
 }
 
-async fn submit(tx: MessageSender, req: &HttpRequest) -> HttpReply {
+async fn submit(cx: Context, req: HttpRequest) -> HttpReply {
     let submission: Submission = match serde_json::from_slice(&req.body) {
         Ok(submission) => submission,
         Err(error) => {
             let title = "The body is no submission";
-            return problem::bad_request("bad-submission", title, &error.to_string());
+            // The error may repeat a part of the body.
+            let error = error.to_string();
+            return problem::bad_request("bad-submission", title, shorten(&error));
         }
     };
-    let asked = ask(&tx, |tx| Message::Submit(Box::new(submission), tx));
+    // The submission holds nothing of the body, which may be long.
+    drop(req);
+    let bytes = submission.bytes();
+    let counted = if bytes > UNCOUNTED_BODY_BYTES {
+        bytes
+    } else {
+        0
+    };
+    let Some(memory) = cx.memory.reserve(counted) else {
+        cx.refusals.add(Refusal::OutOfMemory);
+        return out_of_memory();
+    };
+    let asked = ask(&cx.tx, |tx| Message::Submit {
+        submission: Box::new(submission),
+        memory,
+        tx,
+    });
     match asked.await {
         Ok(answer) => problem::answer_reply(&answer),
         Err(_) => stopping_reply(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,9 +6,13 @@
 use gannetridge_entry_core::{HostSettings, Safeguards, Tuning};
 use gannetridge_entry_wire::{HostId, Time};
 use gannetridge_net::ServerLimits;
+use gannetridge_process::budget::{Budget, MachineLimits};
 use gannetridge_wire::Name;
 use serde::{Deserialize, Serialize};
 
+/// How many times the memory of a dispatcher host's peers those of an entry host have.
+const PEER_MEMORY_FACTOR: usize = 2;
+
 /// The format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -55,6 +59,10 @@
     pub body_ms: u64,
     /// Largest number of simultaneous connections from one address.
     pub connections_per_address: usize,
+    /// The memory that is available to the process, in MB. Clients may take a part of it.
+    pub memory_mb: u64,
+    /// The number of file descriptors that are available to the process.
+    pub max_file_descriptors: usize,
 }
 
 impl Default for LimitSettings {
@@ -66,6 +74,8 @@
             idle_ms: 60_000,
             body_ms: 10_000,
             connections_per_address: 4_096,
+            memory_mb: 256,
+            max_file_descriptors: 4_096,
         }
     }
 }
@@ -74,22 +84,43 @@
     /// Returns the limits of the server for callers and operators.
     #[must_use]
     pub fn for_callers(&self) -> ServerLimits {
+        let limits = self.budget().callers;
         ServerLimits {
-            head_bytes: self.head_bytes,
+            // A body of the longest length, and what is decoded from it, must fit.
+            memory_bytes: limits.memory_bytes.max(self.body_bytes.saturating_mul(2)),
             body_bytes: self.body_bytes,
-            idle_timeout: Duration::from_millis(self.idle_ms),
-            body_timeout: Duration::from_millis(self.body_ms),
-            connections_per_address: self.connections_per_address,
-            ..ServerLimits::default()
+            ..self.apply_to(limits)
         }
     }
 
     /// Returns the limits of the server for peers.
     #[must_use]
     pub fn for_peers(&self) -> ServerLimits {
+        let limits = self.budget().peers;
+        // Peers hand over what they remember of a shard in one message.
+        let memory_bytes = limits.memory_bytes * PEER_MEMORY_FACTOR;
         ServerLimits {
-            body_bytes: self.peer_body_bytes,
-            ..self.for_callers()
+            memory_bytes,
+            body_bytes: self.peer_body_bytes.min(memory_bytes),
+            ..self.apply_to(limits)
+        }
+    }
+
+    fn budget(&self) -> Budget {
+        Budget::new(&MachineLimits {
+            memory_mb: self.memory_mb as f64,
+            max_file_descriptors: self.max_file_descriptors,
+        })
+    }
+
+    /// Applies the settings that all servers share.
+    fn apply_to(&self, limits: ServerLimits) -> ServerLimits {
+        ServerLimits {
+            head_bytes: self.head_bytes,
+            idle_timeout: Duration::from_millis(self.idle_ms),
+            body_timeout: Duration::from_millis(self.body_ms),
+            connections_per_address: self.connections_per_address,
+            ..limits
         }
     }
 }
