Let new connections in beside clients that always have a next request

Clients that send requests in a row without reading leave no connection waiting for its client: at the moment when a new one is accepted, the requests on all others are being handled, so it was refused.

A new connection now waits for a place, 200 ms at most and 16 of them at once. The next connection that has sent its reply closes then, and says so in the reply; the next one that begins to wait for its client is evicted.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -139,7 +139,7 @@
         else {
             return Err(ReadError::ConnectionClosed);
         };
-        let close = close || reply.close;
+        let close = close || reply.close || cx.connection.must_make_place();
         let reply = response(reply, close);
         send_reply(&mut transport.writer, &cx.connection, reply, &limits).await?;
         if close {
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -1,32 +1,54 @@
 //! The places of a server's connections, and which of them may be given to others.
 //!
 //! A connection that waits for its client, to receive a request or to send a reply, may be
-//! evicted. One whose request is being handled keeps its place.
+//! evicted. One whose request is being handled keeps its place until the reply is sent; if a new
+//! connection is waiting for a place by then, the reply is its last.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use local_sync::oneshot;
 use local_sync::semaphore::{OwnedSemaphorePermit, Semaphore};
 
-use crate::polling::poll_once;
+use crate::polling::{poll_once, within};
 
-/// Connections that wait for their clients; the least number has waited longest.
+/// What is known of connections that wait.
 #[derive(Default)]
-struct Waiting {
+struct State {
     last_number: u64,
+    /// Connections that wait for their clients; the least number has waited longest.
     evict: BTreeMap<u64, oneshot::Sender<()>>,
+    /// The number of new connections that wait for a place.
+    newcomers: usize,
+    /// The number of places that connections are about to return for newcomers.
+    promised: usize,
+}
+
+impl State {
+    /// Asks the connection that has waited longest for its client to close; returns false if none
+    /// waits.
+    fn evict_longest_waiting(&mut self) -> bool {
+        let longest = self.evict.pop_first();
+        // The receiver lives as long as the entry.
+        longest.is_some_and(|(_, tx)| tx.send(()).is_ok())
+    }
+
+    /// Returns true if a newcomer waits to which no place is promised.
+    fn is_place_wanted(&self) -> bool {
+        self.promised < self.newcomers
+    }
 }
 
 /// The connections of a server. Clones share them.
 #[derive(Clone)]
 pub(crate) struct Connections {
     places: Rc<Semaphore>,
-    waiting: Rc<RefCell<Waiting>>,
+    state: Rc<RefCell<State>>,
 }
 
 impl Connections {
@@ -34,12 +56,12 @@
     pub(crate) fn new(limit: usize) -> Self {
         Self {
             places: Rc::new(Semaphore::new(limit)),
-            waiting: Rc::default(),
+            state: Rc::default(),
         }
     }
 
     /// Takes a place, if need be that of the connection that has waited longest for its client.
-    /// Returns `None` if all requests on all connections are being handled.
+    /// Returns `None` if requests are being handled on all connections.
     pub(crate) async fn admit(&self) -> Option<Connection> {
         let place = match self.places.clone().try_acquire_owned() {
             Ok(place) => place,
@@ -48,24 +70,53 @@
             }
             Err(_) => return None,
         };
-        Some(Connection {
-            waiting: self.waiting.clone(),
+        Some(self.connection(place))
+    }
+
+    /// Takes the next place that a connection returns once it has sent a reply, or waits for its
+    /// client. Returns `None` if that takes longer than `limit`.
+    pub(crate) async fn admit_next(&self, limit: Duration) -> Option<Connection> {
+        let _newcomer = Newcomer::new(&self.state);
+        let acquiring = pin!(self.places.clone().acquire_owned());
+        let place = within(limit, acquiring).await.ok()?.ok()?;
+        Some(self.connection(place))
+    }
+
+    fn connection(&self, place: OwnedSemaphorePermit) -> Connection {
+        Connection {
+            state: self.state.clone(),
             _place: place,
-        })
+        }
     }
 
     /// Asks the connection that has waited longest for its client to close; returns false if none
     /// waits.
     pub(crate) fn evict_longest_waiting(&self) -> bool {
-        let longest = self.waiting.borrow_mut().evict.pop_first();
-        // The receiver lives as long as the entry.
-        longest.is_some_and(|(_, tx)| tx.send(()).is_ok())
+        self.state.borrow_mut().evict_longest_waiting()
+    }
+}
+
+/// Counts a new connection that waits for a place, until it is dropped.
+struct Newcomer(Rc<RefCell<State>>);
+
+impl Newcomer {
+    fn new(state: &Rc<RefCell<State>>) -> Self {
+        state.borrow_mut().newcomers += 1;
+        Self(state.clone())
+    }
+}
+
+impl Drop for Newcomer {
+    fn drop(&mut self) {
+        let mut state = self.0.borrow_mut();
+        state.newcomers -= 1;
+        state.promised = state.promised.saturating_sub(1);
     }
 }
 
 /// A connection's place, returned when dropped.
 pub(crate) struct Connection {
-    waiting: Rc<RefCell<Waiting>>,
+    state: Rc<RefCell<State>>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -74,6 +125,15 @@
 pub(crate) struct Evicted;
 
 impl Connection {
+    /// Returns true if the connection has to close after its present reply, since a new one waits
+    /// for a place.
+    pub(crate) fn must_make_place(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_wanted = state.is_place_wanted();
+        state.promised += usize::from(is_wanted);
+        is_wanted
+    }
+
     /// Awaits a pinned future that depends on the client. Ends early if the connection is evicted.
     pub(crate) async fn wait_for_client<F: Future>(
         &self,
@@ -82,7 +142,7 @@
         if let Poll::Ready(output) = poll_once(future.as_mut()).await {
             return Ok(output);
         }
-        let mut entry = WaitingEntry::new(&self.waiting);
+        let mut entry = WaitingEntry::new(&self.state);
         monoio::select! {
             biased;
             _ = &mut entry.evicted => Err(Evicted),
@@ -91,23 +151,26 @@
     }
 }
 
-/// An entry of [`Waiting`], removed when dropped.
+/// A connection that waits for its client, until it is dropped.
 struct WaitingEntry {
     number: u64,
-    waiting: Rc<RefCell<Waiting>>,
+    state: Rc<RefCell<State>>,
     evicted: oneshot::Receiver<()>,
 }
 
 impl WaitingEntry {
-    fn new(waiting: &Rc<RefCell<Waiting>>) -> Self {
+    fn new(shared: &Rc<RefCell<State>>) -> Self {
         let (tx, evicted) = oneshot::channel();
-        let mut state = waiting.borrow_mut();
+        let mut state = shared.borrow_mut();
         state.last_number += 1;
         let number = state.last_number;
         state.evict.insert(number, tx);
+        if state.is_place_wanted() && state.evict_longest_waiting() {
+            state.promised += 1;
+        }
         Self {
             number,
-            waiting: waiting.clone(),
+            state: shared.clone(),
             evicted,
         }
     }
@@ -115,6 +178,6 @@
 
 impl Drop for WaitingEntry {
     fn drop(&mut self) {
-        self.waiting.borrow_mut().evict.remove(&self.number);
+        self.state.borrow_mut().evict.remove(&self.number);
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -26,4 +26,4 @@
 pub use memory::{MemoryPermit, MemoryQuota};
 pub use message::{HttpReply, HttpRequest};
 pub use refusals::{Refusal, RefusalCounts, RefusalKind, ServerRefusals};
-pub use server::{bind, bind_for_clients, serve, Server, MAX_REFUSED_CONNECTIONS};
+pub use server::{bind, bind_for_clients, serve, Server, MAX_WAITING_CONNECTIONS};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -30,8 +30,10 @@
 const ACCEPTS_PER_TURN: usize = 16;
 /// The pause after a connection couldn't be accepted, mostly for lack of descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
-/// The most connections beyond the limit that are open to let their clients read a refusal.
-pub const MAX_REFUSED_CONNECTIONS: usize = 16;
+/// The most connections beyond the limit that wait for a place, or let their clients read a refusal.
+pub const MAX_WAITING_CONNECTIONS: usize = 16;
+/// How long a new connection waits for a place while requests are handled on all others.
+const PLACE_WAIT: Duration = Duration::from_millis(200);
 
 /// Open connections by client address.
 type ConnectionCounts = Rc<RefCell<HashMap<IpAddr, usize>>>;
@@ -104,8 +106,8 @@
     limits: SharedLimits,
     memory: MemoryQuota,
     connections: Connections,
-    /// Bounds the connections that are open only to let their clients read a refusal.
-    refused: Rc<Semaphore>,
+    /// Bounds the connections beyond the limit, which wait for a place or a refusal.
+    waiting: Rc<Semaphore>,
     refusals: ServerRefusals,
     by_address: ConnectionCounts,
 }
@@ -123,7 +125,7 @@
             limits,
             memory: MemoryQuota::new(memory_bytes),
             connections: Connections::new(connections),
-            refused: Rc::new(Semaphore::new(MAX_REFUSED_CONNECTIONS)),
+            waiting: Rc::new(Semaphore::new(MAX_WAITING_CONNECTIONS)),
             refusals,
             by_address: ConnectionCounts::default(),
         }
@@ -159,54 +161,90 @@
                 continue;
             };
             match self.connections.admit().await {
-                Some(connection) => self.spawn(stream, peer, connection, guard, handler.clone()),
-                None => self.refuse(stream),
+                Some(connection) => {
+                    let task = self.task(stream, peer, guard, handler.clone());
+                    monoio::spawn(task.run(connection));
+                }
+                None => self.let_wait(self.task(stream, peer, guard, handler.clone())),
             }
         }
     }
 
-    /// Serves a connection in a task of its own.
-    fn spawn<H, F>(
+    fn task<H>(
         &self,
         stream: TcpStream,
         peer: SocketAddr,
-        connection: Connection,
         guard: ConnectionGuard,
         handler: H,
-    ) where
+    ) -> ConnectionTask<H> {
+        ConnectionTask {
+            transport: Transport::new(stream, self.limits.get().head_bytes),
+            peer,
+            limits: self.limits.clone(),
+            memory: self.memory.clone(),
+            refusals: self.refusals.clone(),
+            handler,
+            _guard: guard,
+        }
+    }
+
+    /// Lets a new connection wait a moment for a place, and refuses it if there is none. Too many
+    /// that wait are closed at once.
+    fn let_wait<H, F>(&self, mut task: ConnectionTask<H>)
+    where
         H: Fn(HttpRequest) -> F + 'static,
         F: Future<Output = HttpReply> + 'static,
     {
-        let transport = Transport::new(stream, self.limits.get().head_bytes);
-        let context = Context {
-            limits: self.limits.clone(),
-            memory: self.memory.clone(),
-            connection,
+        let Ok(waiting) = self.waiting.clone().try_acquire_owned() else {
+            self.refusals.add(Refusal::TooManyConnections);
+            return;
         };
-        let refusals = self.refusals.clone();
+        let connections = self.connections.clone();
         monoio::spawn(async move {
-            let _guard = guard;
-            if let Err(error) = serve_connection(transport, context, handler).await {
-                debug!(%peer, %error, "connection ended");
-                if let Some(refusal) = refusal_of(&error) {
-                    refusals.add(refusal);
+            match connections.admit_next(PLACE_WAIT).await {
+                Some(connection) => {
+                    drop(waiting);
+                    task.run(connection).await;
+                }
+                None => {
+                    task.refusals.add(Refusal::TooManyConnections);
+                    let reply = too_many_connections();
+                    task.transport.refuse_and_drain(reply).await;
                 }
             }
         });
     }
+}
 
-    /// Refuses a connection for which there is no place.
-    fn refuse(&self, stream: TcpStream) {
-        self.refusals.add(Refusal::TooManyConnections);
-        // Without a place for the refusal the connection is closed without one.
-        let Ok(place) = self.refused.clone().try_acquire_owned() else {
-            return;
+/// A connection and what it needs to be served.
+struct ConnectionTask<H> {
+    transport: Transport,
+    peer: SocketAddr,
+    limits: SharedLimits,
+    memory: MemoryQuota,
+    refusals: ServerRefusals,
+    handler: H,
+    _guard: ConnectionGuard,
+}
+
+impl<H> ConnectionTask<H> {
+    /// Serves the connection until it is closed.
+    async fn run<F>(self, connection: Connection)
+    where
+        H: Fn(HttpRequest) -> F,
+        F: Future<Output = HttpReply>,
+    {
+        let context = Context {
+            limits: self.limits,
+            memory: self.memory,
+            connection,
         };
-        let mut transport = Transport::new(stream, 0);
-        monoio::spawn(async move {
-            let _place = place;
-            transport.refuse_and_drain(too_many_connections()).await;
-        });
+        if let Err(error) = serve_connection(self.transport, context, self.handler).await {
+            debug!(peer = %self.peer, %error, "connection ended");
+            if let Some(refusal) = refusal_of(&error) {
+                self.refusals.add(refusal);
+            }
+        }
     }
 }
 
--- a/crates/net/tests/crowds.rs
+++ b/crates/net/tests/crowds.rs
@@ -2,7 +2,8 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
 use gannetridge_net::{
@@ -16,7 +17,8 @@
 /// A time in which nothing is expected to happen.
 const QUIET_TIME: Duration = Duration::from_millis(100);
 
-/// Starts a server. It answers all requests but those for `/waits`, which it never answers.
+/// Starts a server. It answers all requests at once, but for `/takes-a-moment` and for `/waits`,
+/// which it never answers.
 fn start(limits: ServerLimits) -> SocketAddr {
     let (tx, rx) = mpsc::channel();
     std::thread::spawn(move || {
@@ -25,8 +27,10 @@
             tx.send(listener.local_addr().expect("a bound address"))
                 .expect("a receiver");
             serve(listener, limits, |req| async move {
-                if req.path == "/waits" {
-                    std::future::pending::<()>().await;
+                match req.path.as_str() {
+                    "/waits" => std::future::pending().await,
+                    "/takes-a-moment" => monoio::time::sleep(Duration::from_millis(10)).await,
+                    _ => {}
                 }
                 HttpReply::new(StatusCode::OK, "text/plain", &b"done"[..])
             })
@@ -276,6 +280,38 @@
     rx.recv().expect("an address")
 }
 
+/// Clients that always have a next request leave no connection waiting, yet a new one gets its turn.
+#[test]
+fn a_new_connection_is_served_beside_clients_with_requests_in_a_row() {
+    let addr = start(with_connections(4));
+    let stop = Arc::new(AtomicBool::new(false));
+    let crowd = (0..4).map(|_| {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            let next = b"GET /takes-a-moment HTTP/1.1\r\n\r\n";
+            let last = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
+            let requests = [&next.repeat(50)[..], last].concat();
+            while !stop.load(Ordering::Relaxed) {
+                let mut stream = connect(addr);
+                // The server may close the connection for another one.
+                let _ = stream.write_all(&requests);
+                let _ = stream.read_to_end(&mut Vec::new());
+            }
+        })
+    });
+    let crowd: Vec<_> = crowd.collect();
+    std::thread::sleep(QUIET_TIME);
+    for _ in 0..5 {
+        let mut new = connect(addr);
+        new.write_all(GET).expect("sent");
+        assert_done(&mut new);
+    }
+    stop.store(true, Ordering::Relaxed);
+    for client in crowd {
+        client.join().expect("no panic");
+    }
+}
+
 /// Declares tests, each with a name, a request that is within the first limits only, and the start
 /// of the reply once they are tighter.
 macro_rules! tightened {
--- a/crates/process/src/budget.rs
+++ b/crates/process/src/budget.rs
@@ -4,7 +4,7 @@
 //! Each server has a share of its own: callers can't take what readiness probes, peers and
 //! outgoing calls need. What isn't given to a server is left to the process itself.
 
-use gannetridge_net::{ServerLimits, MAX_REFUSED_CONNECTIONS};
+use gannetridge_net::{ServerLimits, MAX_WAITING_CONNECTIONS};
 use serde::{Deserialize, Serialize};
 
 /// The file descriptors that are left to files.
@@ -62,7 +62,7 @@
     #[must_use]
     pub fn new(machine: &MachineLimits) -> Self {
         let memory = (machine.memory_mb * 1e6) as usize;
-        let reserved = FILE_DESCRIPTORS + MAX_SERVERS * MAX_REFUSED_CONNECTIONS;
+        let reserved = FILE_DESCRIPTORS + MAX_SERVERS * MAX_WAITING_CONNECTIONS;
         let sockets = machine.max_file_descriptors.saturating_sub(reserved);
         Self {
             callers: callers(memory, sockets),
@@ -100,7 +100,7 @@
     ServerLimits {
         connections,
         // A balancer may show one address for all clients.
-        connections_per_address: connections + MAX_REFUSED_CONNECTIONS,
+        connections_per_address: connections + MAX_WAITING_CONNECTIONS,
         memory_bytes: memory_bytes.max(MIN_BODIES_BYTES),
         ..ServerLimits::default()
     }
