Bound how long the server waits for the place of an evicted connection

Found by reading: a server that has evicted a connection waited for its place without a limit, and new connections that wait are served first. If one of these got the place, no further connection was accepted until some other one closed. No test shows the fault; all of net, platform and the entry hosts pass.

--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -60,23 +60,28 @@
         }
     }
 
-    /// Takes a place, if need be that of the connection that has waited longest for its client.
-    /// Returns `None` if requests are being handled on all connections.
-    pub(crate) async fn admit(&self) -> Option<Connection> {
-        let place = match self.places.clone().try_acquire_owned() {
-            Ok(place) => place,
-            Err(_) if self.evict_longest_waiting() => {
-                self.places.clone().acquire_owned().await.ok()?
-            }
-            Err(_) => return None,
-        };
-        Some(self.connection(place))
+    /// Takes a free place, or that of the connection that has waited longest for its client.
+    /// Returns `None` if requests are being handled on all connections, or after `limit`.
+    pub(crate) async fn admit(&self, limit: Duration) -> Option<Connection> {
+        if let Ok(place) = self.places.clone().try_acquire_owned() {
+            return Some(self.connection(place));
+        }
+        if !self.evict_longest_waiting() {
+            return None;
+        }
+        let newcomer = Newcomer::new(&self.state);
+        self.state.borrow_mut().promised += 1;
+        self.admit_newcomer(newcomer, limit).await
     }
 
     /// Takes the next place that a connection returns once it has sent a reply, or waits for its
     /// client. Returns `None` if that takes longer than `limit`.
     pub(crate) async fn admit_next(&self, limit: Duration) -> Option<Connection> {
-        let _newcomer = Newcomer::new(&self.state);
+        let newcomer = Newcomer::new(&self.state);
+        self.admit_newcomer(newcomer, limit).await
+    }
+
+    async fn admit_newcomer(&self, _newcomer: Newcomer, limit: Duration) -> Option<Connection> {
         let acquiring = pin!(self.places.clone().acquire_owned());
         let place = within(limit, acquiring).await.ok()?.ok()?;
         Some(self.connection(place))
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -160,7 +160,7 @@
                 self.refusals.add(Refusal::TooManyConnections);
                 continue;
             };
-            match self.connections.admit().await {
+            match self.connections.admit(PLACE_WAIT).await {
                 Some(connection) => {
                     let task = self.task(stream, peer, guard, handler.clone());
                     monoio::spawn(task.run(connection));
