--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -35,7 +35,7 @@
     /// The memory for bodies is in use.
     #[error("no memory for a body of {0} bytes")]
     OutOfMemory(usize),
-    /// The connection was closed to make place for another one.
+    /// The connection was closed to free its slot for another one.
     #[error("evicted by another connection")]
     Evicted,
     /// The client didn't take a reply in time.
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,6 +1,6 @@
 //! Serves the requests of one connection, one after the other.
 //!
-//! It owns the connection's buffers and relies on `connections` for its place among the others.
+//! It owns the connection's buffers and relies on `connections` for its slot.
 
 use std::future::Future;
 use std::pin::pin;
@@ -139,7 +139,7 @@
         else {
             return Err(ReadError::ConnectionClosed);
         };
-        let close = close || reply.close || cx.connection.must_make_place();
+        let close = close || reply.close || cx.connection.must_free_slot();
         let reply = response(reply, close);
         send_reply(&mut transport.writer, &cx.connection, reply, &limits).await?;
         if close {
@@ -348,7 +348,7 @@
     reply
 }
 
-/// Returns the reply on a connection for which there is no place.
+/// Returns the reply on a connection for which there is no slot.
 pub(crate) fn too_many_connections() -> HttpReply {
     let title = "The host has too many connections now; come back later";
     let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -1,8 +1,8 @@
-//! The places of a server's connections, and which of them may be given to others.
+//! The slots of a server's connections, and which of them may be given to others.
 //!
 //! A connection that waits for its client, to receive a request or to send a reply, may be
-//! evicted. One whose request is being handled keeps its place until the reply is sent; if a new
-//! connection is waiting for a place by then, the reply is its last.
+//! evicted. One whose request is being handled keeps its slot until the reply is sent; if a new
+//! connection is waiting for a slot by then, the reply is its last.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -23,9 +23,9 @@
     last_number: u64,
     /// Connections that wait for their clients; the least number has waited longest.
     evict: BTreeMap<u64, oneshot::Sender<()>>,
-    /// The number of new connections that wait for a place.
-    newcomers: usize,
-    /// The number of places that connections are about to return for newcomers.
+    /// The number of new connections that wait for a slot.
+    pending: usize,
+    /// The number of slots that connections are about to return for them.
     promised: usize,
 }
 
@@ -38,59 +38,63 @@
         longest.is_some_and(|(_, tx)| tx.send(()).is_ok())
     }
 
-    /// Returns true if a newcomer waits to which no place is promised.
-    fn is_place_wanted(&self) -> bool {
-        self.promised < self.newcomers
+    /// Returns true if a new connection waits to which no slot is promised.
+    fn is_slot_wanted(&self) -> bool {
+        self.promised < self.pending
     }
 }
 
 /// The connections of a server. Clones share them.
 #[derive(Clone)]
 pub(crate) struct Connections {
-    places: Rc<Semaphore>,
+    slots: Rc<Semaphore>,
     state: Rc<RefCell<State>>,
 }
 
 impl Connections {
-    /// Creates `limit` places.
+    /// Creates `limit` slots.
     pub(crate) fn new(limit: usize) -> Self {
         Self {
-            places: Rc::new(Semaphore::new(limit)),
+            slots: Rc::new(Semaphore::new(limit)),
             state: Rc::default(),
         }
     }
 
-    /// Takes a free place, or that of the connection that has waited longest for its client.
+    /// Takes a free slot, or that of the connection that has waited longest for its client.
     /// Returns `None` if requests are being handled on all connections, or after `limit`.
     pub(crate) async fn admit(&self, limit: Duration) -> Option<Connection> {
-        if let Ok(place) = self.places.clone().try_acquire_owned() {
-            return Some(self.connection(place));
+        if let Ok(slot) = self.slots.clone().try_acquire_owned() {
+            return Some(self.connection(slot));
         }
         if !self.evict_longest_waiting() {
             return None;
         }
-        let newcomer = Newcomer::new(&self.state);
+        let pending = PendingAdmission::new(&self.state);
         self.state.borrow_mut().promised += 1;
-        self.admit_newcomer(newcomer, limit).await
+        self.admit_pending(pending, limit).await
     }
 
-    /// Takes the next place that a connection returns once it has sent a reply, or waits for its
+    /// Takes the next slot that a connection returns once it has sent a reply, or waits for its
     /// client. Returns `None` if that takes longer than `limit`.
     pub(crate) async fn admit_next(&self, limit: Duration) -> Option<Connection> {
-        let newcomer = Newcomer::new(&self.state);
-        self.admit_newcomer(newcomer, limit).await
+        let pending = PendingAdmission::new(&self.state);
+        self.admit_pending(pending, limit).await
     }
 
-    async fn admit_newcomer(&self, _newcomer: Newcomer, limit: Duration) -> Option<Connection> {
-        let acquiring = pin!(self.places.clone().acquire_owned());
-        let place = within(limit, acquiring).await.ok()?.ok()?;
-        Some(self.connection(place))
+    async fn admit_pending(
+        &self,
+        _pending: PendingAdmission,
+        limit: Duration,
+    ) -> Option<Connection> {
+        let acquiring = pin!(self.slots.clone().acquire_owned());
+        let slot = within(limit, acquiring).await.ok()?.ok()?;
+        Some(self.connection(slot))
     }
 
-    fn connection(&self, place: OwnedSemaphorePermit) -> Connection {
+    fn connection(&self, slot: OwnedSemaphorePermit) -> Connection {
         Connection {
             state: self.state.clone(),
-            _place: place,
+            _slot: slot,
         }
     }
 
@@ -101,40 +105,40 @@
     }
 }
 
-/// Counts a new connection that waits for a place, until it is dropped.
-struct Newcomer(Rc<RefCell<State>>);
+/// Counts a new connection that waits for a slot, until it is dropped.
+struct PendingAdmission(Rc<RefCell<State>>);
 
-impl Newcomer {
+impl PendingAdmission {
     fn new(state: &Rc<RefCell<State>>) -> Self {
-        state.borrow_mut().newcomers += 1;
+        state.borrow_mut().pending += 1;
         Self(state.clone())
     }
 }
 
-impl Drop for Newcomer {
+impl Drop for PendingAdmission {
     fn drop(&mut self) {
         let mut state = self.0.borrow_mut();
-        state.newcomers -= 1;
+        state.pending -= 1;
         state.promised = state.promised.saturating_sub(1);
     }
 }
 
-/// A connection's place, returned when dropped.
+/// A connection's slot, returned when dropped.
 pub(crate) struct Connection {
     state: Rc<RefCell<State>>,
-    _place: OwnedSemaphorePermit,
+    _slot: OwnedSemaphorePermit,
 }
 
-/// The connection has to close, because another one needs its place.
+/// The connection has to close, because another one needs its slot.
 #[derive(Debug)]
 pub(crate) struct Evicted;
 
 impl Connection {
     /// Returns true if the connection has to close after its present reply, since a new one waits
-    /// for a place.
-    pub(crate) fn must_make_place(&self) -> bool {
+    /// for a slot.
+    pub(crate) fn must_free_slot(&self) -> bool {
         let mut state = self.state.borrow_mut();
-        let is_wanted = state.is_place_wanted();
+        let is_wanted = state.is_slot_wanted();
         state.promised += usize::from(is_wanted);
         is_wanted
     }
@@ -170,7 +174,7 @@
         state.last_number += 1;
         let number = state.last_number;
         state.evict.insert(number, tx);
-        if state.is_place_wanted() && state.evict_longest_waiting() {
+        if state.is_slot_wanted() && state.evict_longest_waiting() {
             state.promised += 1;
         }
         Self {
--- a/crates/net/src/refusals.rs
+++ b/crates/net/src/refusals.rs
@@ -9,7 +9,7 @@
 pub enum Refusal {
     /// All connections are in use, and none of them waits for its client.
     TooManyConnections,
-    /// The connection had waited longest for its client when another one needed its place.
+    /// The connection had waited longest for its client when another one needed its slot.
     Evicted,
     /// The memory for bodies and decoded requests is in use.
     OutOfMemory,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -30,10 +30,10 @@
 const ACCEPTS_PER_TURN: usize = 16;
 /// The pause after a connection couldn't be accepted, mostly for lack of descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
-/// The most connections beyond the limit that wait for a place, or let their clients read a refusal.
+/// The most connections beyond the limit that wait for a slot, or let their clients read a refusal.
 pub const MAX_WAITING_CONNECTIONS: usize = 16;
-/// How long a new connection waits for a place while requests are handled on all others.
-const PLACE_WAIT: Duration = Duration::from_millis(200);
+/// How long a new connection waits for a slot while requests are handled on all others.
+const SLOT_WAIT: Duration = Duration::from_millis(200);
 
 /// Open connections by client address.
 type ConnectionCounts = Rc<RefCell<HashMap<IpAddr, usize>>>;
@@ -106,7 +106,7 @@
     limits: SharedLimits,
     memory: MemoryQuota,
     connections: Connections,
-    /// Bounds the connections beyond the limit, which wait for a place or a refusal.
+    /// Bounds the connections beyond the limit, which wait for a slot or a refusal.
     waiting: Rc<Semaphore>,
     refusals: ServerRefusals,
     by_address: ConnectionCounts,
@@ -160,12 +160,12 @@
                 self.refusals.add(Refusal::TooManyConnections);
                 continue;
             };
-            match self.connections.admit(PLACE_WAIT).await {
+            match self.connections.admit(SLOT_WAIT).await {
                 Some(connection) => {
                     let task = self.task(stream, peer, guard, handler.clone());
                     monoio::spawn(task.run(connection));
                 }
-                None => self.let_wait(self.task(stream, peer, guard, handler.clone())),
+                None => self.wait_for_slot(self.task(stream, peer, guard, handler.clone())),
             }
         }
     }
@@ -188,9 +188,9 @@
         }
     }
 
-    /// Lets a new connection wait a moment for a place, and refuses it if there is none. Too many
+    /// Lets a new connection wait a moment for a slot, and refuses it if there is none. Too many
     /// that wait are closed at once.
-    fn let_wait<H, F>(&self, mut task: ConnectionTask<H>)
+    fn wait_for_slot<H, F>(&self, mut task: ConnectionTask<H>)
     where
         H: Fn(HttpRequest) -> F + 'static,
         F: Future<Output = HttpReply> + 'static,
@@ -201,7 +201,7 @@
         };
         let connections = self.connections.clone();
         monoio::spawn(async move {
-            match connections.admit_next(PLACE_WAIT).await {
+            match connections.admit_next(SLOT_WAIT).await {
                 Some(connection) => {
                     drop(waiting);
                     task.run(connection).await;
--- a/crates/net/tests/crowds.rs
+++ b/crates/net/tests/crowds.rs
@@ -106,7 +106,7 @@
 }
 
 #[test]
-fn a_new_connection_takes_the_place_of_the_longest_waiting() {
+fn a_new_connection_takes_the_slot_of_the_longest_waiting() {
     let addr = start(with_connections(3));
     let mut waiting: Vec<_> = (0..3).map(|_| connect(addr)).collect();
     for stream in &mut waiting {
