Bound the requests that wait for the dispatcher by their size

The dispatcher handles requests in the order in which they come, and needs longer for large ones: measured at the core in a release build, a job of 2,000 steps takes 0.7 to 1.2 ms with 10 targets, 4 to 5 with 300, 10 to 12 with 1,100. Where hosts have a tenth of a core, hundreds of them before an ordinary request, or a readiness probe, would be seconds. What was decoded shared an eighth of the memory with bodies; it has 2 MiB of its own now, some seven such jobs, and others are refused at once with 503 `no-memory`. Requests below 8 KiB aren't counted.

That no crowd delayed others for long before isn't shown by a test, since it depends on the machine's speed.

--- a/crates/dispatcher/src/servers.rs
+++ b/crates/dispatcher/src/servers.rs
@@ -5,7 +5,8 @@
 
 use gannetridge_dispatcher_core::{configuration, Dispatcher, Millis};
 use gannetridge_net::{
-    HttpReply, HttpRequest, RefusalCounts, RequestLimits, Server, ServerLimits, SharedLimits,
+    HttpReply, HttpRequest, MemoryQuota, RefusalCounts, RequestLimits, Server, ServerLimits,
+    SharedLimits,
 };
 use gannetridge_process::budget::Budget;
 use gannetridge_process::mailbox::ask;
@@ -23,6 +24,10 @@
 /// The longest head of a caller's request, in bytes, whatever the configuration allows: heads are
 /// part of what each connection may take.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// The memory of decoded requests that wait for the dispatcher, in bytes: twice that of the largest
+/// one. It also bounds how long others wait, since the time that the dispatcher needs for a request
+/// grows with its size.
+const QUEUED_REQUEST_BYTES: usize = 2 * 1024 * 1024;
 /// How much longer than configured an idle connection stays open: a client may send its next
 /// request at the very end of the time.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -87,7 +92,7 @@
         request_ids,
         stopping: shared.stopping.clone(),
         platform_client: shared.platform_client.clone(),
-        memory: server.memory(),
+        memory: MemoryQuota::new(QUEUED_REQUEST_BYTES),
         refusals: shared.refusals.of_server("callers"),
     };
     monoio::spawn(server.serve(listener, move |req| caller_api::handle(cx.clone(), req)));
