--- a/crates/process/src/budget.rs
+++ b/crates/process/src/budget.rs
@@ -7,6 +7,20 @@
 use gannetridge_net::{ServerLimits, MAX_WAITING_CONNECTIONS};
 use serde::{Deserialize, Serialize};
 
+/// The share of the memory for callers' connections.
+const CALLER_CONNECTIONS_MEMORY_SHARE: f64 = 1.0 / 3.0;
+/// The share of the memory for peers' connections.
+const PEER_CONNECTIONS_MEMORY_SHARE: f64 = 1.0 / 6.0;
+/// The share of the memory for the long bodies of callers, and for those of peers.
+const BODIES_MEMORY_SHARE: f64 = 1.0 / 8.0;
+/// The share of the memory for the jobs in progress.
+const JOBS_MEMORY_SHARE: f64 = 1.0 / 8.0;
+/// The share of the sockets for callers' connections.
+const CALLER_SOCKET_SHARE: f64 = 3.0 / 8.0;
+/// The share of the sockets for peers' connections.
+const PEER_SOCKET_SHARE: f64 = 1.0 / 4.0;
+/// The share of the sockets for readiness probes, and for reading metrics.
+const PROBE_SOCKET_SHARE: f64 = 1.0 / 16.0;
 /// The file descriptors that are left to files.
 const FILE_DESCRIPTORS: usize = 200;
 /// The most servers of a process.
@@ -68,19 +82,21 @@
             callers: callers(memory, sockets),
             peers: peers(memory, sockets),
             probes: probes(sockets),
-            job_bytes: (memory / 8).max(MIN_BODIES_BYTES),
+            job_bytes: share_of(memory, JOBS_MEMORY_SHARE).max(MIN_BODIES_BYTES),
         }
     }
 }
 
 fn callers(memory: usize, sockets: usize) -> ServerLimits {
-    let connections = (memory / 3 / CALLER_CONNECTION_BYTES).min(sockets * 3 / 8);
-    with_connections(connections, memory / 8)
+    let by_memory = share_of(memory, CALLER_CONNECTIONS_MEMORY_SHARE) / CALLER_CONNECTION_BYTES;
+    let connections = by_memory.min(share_of(sockets, CALLER_SOCKET_SHARE));
+    with_connections(connections, share_of(memory, BODIES_MEMORY_SHARE))
 }
 
 fn peers(memory: usize, sockets: usize) -> ServerLimits {
-    let connections = (memory / 6 / PEER_CONNECTION_BYTES).min(sockets / 4);
-    let limits = with_connections(connections, memory / 8);
+    let by_memory = share_of(memory, PEER_CONNECTIONS_MEMORY_SHARE) / PEER_CONNECTION_BYTES;
+    let connections = by_memory.min(share_of(sockets, PEER_SOCKET_SHARE));
+    let limits = with_connections(connections, share_of(memory, BODIES_MEMORY_SHARE));
     ServerLimits {
         body_bytes: MAX_PEER_BODY_BYTES.min(limits.memory_bytes),
         ..limits
@@ -88,13 +104,17 @@
 }
 
 fn probes(sockets: usize) -> ServerLimits {
-    let connections = MAX_PROBE_CONNECTIONS.min(sockets / 16);
+    let connections = MAX_PROBE_CONNECTIONS.min(share_of(sockets, PROBE_SOCKET_SHARE));
     ServerLimits {
         body_bytes: PROBE_BODY_BYTES,
         ..with_connections(connections, 0)
     }
 }
 
+fn share_of(total: usize, share: f64) -> usize {
+    (total as f64 * share) as usize
+}
+
 fn with_connections(connections: usize, memory_bytes: usize) -> ServerLimits {
     let connections = connections.max(1);
     ServerLimits {
