--- a/review/lib-3/platform_standins.py
+++ b/review/lib-3/platform_standins.py
@@ -151,6 +151,7 @@
         self.server = Server(self.handle)
         self.beat()
         threading.Thread(target=self.beat_always, args=(beat_ms / 1000,), daemon=True).start()
+        threading.Thread(target=self.advance_always, daemon=True).start()
 
     def clock(self):
         return (time.monotonic() - self.started) * 1000
@@ -196,6 +197,12 @@
             elif self.deadline <= now:
                 self.end(key, "lapsed")
 
+    def advance_always(self):
+        while True:
+            time.sleep(0.005)
+            with self.lock:
+                self.advance()
+
     def listing(self):
         now = self.clock()
         running = [
