--- a/review/lib-3/case.py
+++ b/review/lib-3/case.py
@@ -81,7 +81,7 @@
             "node_name": name, "zone": zone, "listen.frontend": callers,
             "listen.readiness": readiness, "listen.control": peers,
             "{{ip_address}}:9464": metrics, "platform.address": case.store.address,
-            "limits.cpu_share": "1.0", "limits.cpu_cores": "1", "limits.link_mbps": "1000.0",
+            "limits.cpu_share": "0.25", "limits.cpu_cores": "1", "limits.link_mbps": "1000.0",
             "limits.memory_mb": "260", "limits.max_file_descriptors": "4100",
             "bounds.retransmit_ms": "1300", "bounds.max_hold_ms": "1000",
             "bounds.stop_grace_ms": "50", "bounds.grace_period_s": "6",
