--- a/review/lib-3/case.py
+++ b/review/lib-3/case.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import re
-import signal
 import socket
 import subprocess
 import sys
@@ -25,7 +24,6 @@
 CANCEL_S = 3.0
 STOP_GRACE_S = 0.05
 LOSS_SLACK_S = 0.2
-RETRANSMIT_S = 1.3
 
 
 class CannotRun(Exception):
@@ -105,11 +103,6 @@
         self.case.processes.append(self.process)
         self.case.record.write("host started", host=self.name)
 
-    def kill(self):
-        self.process.send_signal(signal.SIGKILL)
-        self.process.wait()
-        self.case.record.write("host killed", host=self.name)
-
     def is_ready(self):
         try:
             return call(self.readiness, "GET", "/-/readiness", timeout_s=1.0)[0] == 200
