--- a/review/lib-3/case.py
+++ b/review/lib-3/case.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -208,7 +209,9 @@
 
 def main(folder, run):
     """Runs a case; exits with 1 if it returns a broken rule, 0 if none, 2 if it couldn't run."""
-    case = None
+    case, code = None, 2
+    # A script that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         case = Case(folder)
         broken = run(case)
